--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -78,6 +78,50 @@
       return "peer_unreachable";
     case event_number::malformed_answer:
       return "malformed_answer";
+    case event_number::node_started:
+      return "node_started";
+    case event_number::node_settings_loaded:
+      return "node_settings_loaded";
+    case event_number::node_leaving:
+      return "node_leaving";
+    case event_number::node_stopped:
+      return "node_stopped";
+    case event_number::request_answered:
+      return "request_answered";
+    case event_number::request_refused:
+      return "request_refused";
+    case event_number::attempt_failed:
+      return "attempt_failed";
+    case event_number::attempt_repeated:
+      return "attempt_repeated";
+    case event_number::caller_left:
+      return "caller_left";
+    case event_number::foreign_answer_dropped:
+      return "foreign_answer_dropped";
+    case event_number::config_adopted:
+      return "config_adopted";
+    case event_number::config_refused:
+      return "config_refused";
+    case event_number::replica_changed:
+      return "replica_changed";
+    case event_number::replica_removed:
+      return "replica_removed";
+    case event_number::replica_entry_refused:
+      return "replica_entry_refused";
+    case event_number::data_centres_taken_out:
+      return "data_centres_taken_out";
+    case event_number::store_lost:
+      return "store_lost";
+    case event_number::store_regained:
+      return "store_regained";
+    case event_number::store_history_lost:
+      return "store_history_lost";
+    case event_number::host_registered:
+      return "host_registered";
+    case event_number::peer_state_changed:
+      return "peer_state_changed";
+    case event_number::log_lines_dropped:
+      return "log_lines_dropped";
   }
   return "unknown";
 }
@@ -121,6 +165,28 @@
       event_number::bad_input,
       event_number::peer_unreachable,
       event_number::malformed_answer,
+      event_number::node_started,
+      event_number::node_settings_loaded,
+      event_number::node_leaving,
+      event_number::node_stopped,
+      event_number::request_answered,
+      event_number::request_refused,
+      event_number::attempt_failed,
+      event_number::attempt_repeated,
+      event_number::caller_left,
+      event_number::foreign_answer_dropped,
+      event_number::config_adopted,
+      event_number::config_refused,
+      event_number::replica_changed,
+      event_number::replica_removed,
+      event_number::replica_entry_refused,
+      event_number::data_centres_taken_out,
+      event_number::store_lost,
+      event_number::store_regained,
+      event_number::store_history_lost,
+      event_number::host_registered,
+      event_number::peer_state_changed,
+      event_number::log_lines_dropped,
   };
   return *numbers;
 }
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -9,7 +9,8 @@
 /**
  * Numbers of log events; the catalogue is docs/events.md. Hundreds by subject: 1xx host, 2xx
  * queries, 3xx replicas and connections, 4xx membership, 5xx ownership, 6xx claims, 7xx table and
- * key-value service, 8xx transport. A number is never used again for something else.
+ * key-value service, 8xx transport, 9xx serving process.
+ * A number is never used again for something else.
  */
 enum class event_number {
   host_started = 100,
@@ -49,6 +50,28 @@
   bad_input = 800,
   peer_unreachable = 801,
   malformed_answer = 802,
+  node_started = 900,
+  node_settings_loaded = 901,
+  node_leaving = 902,
+  node_stopped = 903,
+  request_answered = 910,
+  request_refused = 911,
+  attempt_failed = 912,
+  attempt_repeated = 913,
+  caller_left = 914,
+  foreign_answer_dropped = 915,
+  config_adopted = 920,
+  config_refused = 921,
+  replica_changed = 922,
+  replica_removed = 923,
+  replica_entry_refused = 924,
+  data_centres_taken_out = 925,
+  store_lost = 930,
+  store_regained = 931,
+  store_history_lost = 932,
+  host_registered = 933,
+  peer_state_changed = 940,
+  log_lines_dropped = 950,
 };
 
 /** The name of a number as the catalogue spells it, for example "host_started". */
--- /dev/null
+++ b/src/liblimpetlever/events/log_line.h
@@ -0,0 +1,30 @@
+#ifndef LIMPETLEVER_EVENTS_LOG_LINE_H_
+#define LIMPETLEVER_EVENTS_LOG_LINE_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include "base/time_types.h"
+#include "events/event_number.h"
+#include "events/log_field.h"
+
+namespace limpetlever {
+
+/** Where and when a log line was written. */
+struct log_origin {
+  std::string_view host;
+  wall_time time;
+  /** Order of recording in this process, from 1. */
+  std::uint64_t sequence = 0;
+};
+
+/** Appends one event as a JSON object on a line of its own. */
+void AppendLogLine(std::string& out,
+                   const log_origin& origin,
+                   event_number number,
+                   std::span<const log_field> fields);
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_EVENTS_LOG_LINE_H_
--- /dev/null
+++ b/src/liblimpetlever/membership/peer_message.cc
@@ -0,0 +1,80 @@
+#include "membership/peer_message.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <utility>
+
+namespace limpetlever {
+
+namespace {
+
+constexpr int kLastKind = static_cast<int>(peer_message::kind_type::news);
+constexpr rapidjson::SizeType kFields = 4;
+constexpr rapidjson::SizeType kEntryFields = 4;
+
+void WriteText(rapidjson::Writer<rapidjson::StringBuffer>& writer, const std::string& text) {
+  writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+}
+
+std::optional<gossip_entry> ReadEntry(const rapidjson::Value& item) {
+  if (!item.IsArray() || item.Size() != kEntryFields || !item[0].IsString() || !item[1].IsInt64() ||
+      !item[2].IsInt64() || !item[3].IsString()) {
+    return std::nullopt;
+  }
+  return gossip_entry{.key = {item[0].GetString(), item[0].GetStringLength()},
+                      .incarnation = item[1].GetInt64(),
+                      .version = item[2].GetInt64(),
+                      .value = {item[3].GetString(), item[3].GetStringLength()}};
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const peer_message& message) {
+  rapidjson::StringBuffer text;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+  writer.StartArray();
+  writer.Int(static_cast<int>(message.kind));
+  writer.Uint64(message.probe);
+  WriteText(writer, message.target);
+  writer.StartArray();
+  for (const gossip_entry& entry : message.updates) {
+    writer.StartArray();
+    WriteText(writer, entry.key);
+    writer.Int64(entry.incarnation);
+    writer.Int64(entry.version);
+    WriteText(writer, entry.value);
+    writer.EndArray();
+  }
+  writer.EndArray();
+  writer.EndArray();
+  return {text.GetString(), text.GetSize()};
+}
+
+std::optional<peer_message> DecodePeerMessage(std::string_view bytes) {
+  rapidjson::Document document;
+  document.Parse(bytes.data(), bytes.size());
+  if (document.HasParseError() || !document.IsArray() || document.Size() != kFields ||
+      !document[0].IsInt() || !document[1].IsUint64() || !document[2].IsString() ||
+      !document[3].IsArray()) {
+    return std::nullopt;
+  }
+  const int kind = document[0].GetInt();
+  if (kind < 0 || kind > kLastKind) {
+    return std::nullopt;
+  }
+  peer_message message{.kind = static_cast<peer_message::kind_type>(kind),
+                       .probe = document[1].GetUint64(),
+                       .target = {document[2].GetString(), document[2].GetStringLength()}};
+  for (const auto& item : document[3].GetArray()) {
+    auto entry = ReadEntry(item);
+    if (!entry) {
+      return std::nullopt;
+    }
+    message.updates.push_back(std::move(*entry));
+  }
+  return message;
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/liblimpetlever/query/query_action.h
@@ -0,0 +1,31 @@
+#ifndef LIMPETLEVER_QUERY_QUERY_ACTION_H_
+#define LIMPETLEVER_QUERY_QUERY_ACTION_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "query/send_reason.h"
+
+namespace limpetlever {
+
+struct replica_record;
+
+/** What the caller of query_plan has to do next. */
+struct query_action {
+  enum class kind_type {
+    /** Send the request to `target` as attempt `attempt`. */
+    send,
+    /** The answer of `attempt` is not needed any more. */
+    abandon,
+    /** The query is over; see query_plan::outcome. */
+    finish
+  };
+  kind_type kind = kind_type::send;
+  std::uint32_t attempt = 0;
+  send_reason reason = send_reason::first;
+  std::shared_ptr<replica_record> target;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_QUERY_QUERY_ACTION_H_
--- /dev/null
+++ b/src/liblimpetlever/query/query_state.h
@@ -0,0 +1,29 @@
+#ifndef LIMPETLEVER_QUERY_QUERY_STATE_H_
+#define LIMPETLEVER_QUERY_QUERY_STATE_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "base/random_source.h"
+#include "query/retry_budget.h"
+#include "query/retry_terms.h"
+#include "routing/latency_estimator.h"
+
+namespace limpetlever {
+
+class replica_registry;
+
+/** What the queries of one host share: backend servers, budgets, and latencies learned so far. */
+struct query_state {
+  replica_registry& replicas;
+  random_source random;
+  retry_terms terms;
+  std::unordered_map<std::string, retry_budget> budgets;
+  /** By route name, so that a new version of the configuration keeps them. */
+  std::unordered_map<std::string, latency_estimator> latencies;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_QUERY_QUERY_STATE_H_
--- /dev/null
+++ b/src/liblimpetlever/query/replica_reply.h
@@ -0,0 +1,33 @@
+#ifndef LIMPETLEVER_QUERY_REPLICA_REPLY_H_
+#define LIMPETLEVER_QUERY_REPLICA_REPLY_H_
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time_types.h"
+#include "replicas/reported_load.h"
+
+namespace limpetlever {
+
+/** A whole answer of a backend server to one attempt. */
+struct replica_reply {
+  int status = 0;
+  /** The server's signature of the answer; empty if it has none. */
+  std::string signature;
+  /** Header fields to be passed on to the caller. */
+  std::vector<std::pair<std::string, std::string>> fields;
+  std::string body;
+  /** The server states that it did not run the request. */
+  bool is_not_run = false;
+  /** Another backend server has the address now. */
+  bool is_misdirected = false;
+  std::optional<reported_load> load;
+
+  bool operator==(const replica_reply&) const = default;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_QUERY_REPLICA_REPLY_H_
--- /dev/null
+++ b/src/liblimpetlever/query/send_reason.h
@@ -0,0 +1,14 @@
+#ifndef LIMPETLEVER_QUERY_SEND_REASON_H_
+#define LIMPETLEVER_QUERY_SEND_REASON_H_
+
+namespace limpetlever {
+
+/** Why an attempt is sent. */
+enum class send_reason { first, hedge, retry };
+
+/** "first", "hedge" or "retry". */
+const char* ToString(send_reason reason);
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_QUERY_SEND_REASON_H_
--- /dev/null
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -0,0 +1,96 @@
+#include "replicas/replica_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "replicas/replica_record.h"
+
+namespace limpetlever {
+
+replica_registry::replica_registry(std::string own_data_centre)
+    : own_data_centre_(std::move(own_data_centre)) {}
+
+bool replica_registry::ShouldUse(const replica& stated) const {
+  return !stated.is_draining && !taken_out_.contains(stated.data_centre);
+}
+
+void replica_registry::Unlist(const std::shared_ptr<replica_record>& record) {
+  const auto found = by_service_.find(record->stated.service);
+  if (found == by_service_.end()) {
+    return;
+  }
+  std::erase(found->second, record);
+  if (found->second.empty()) {
+    by_service_.erase(found);
+  }
+}
+
+bool replica_registry::Put(const replica& stated, instant now) {
+  const auto known = by_id_.find(stated.id);
+  if (known != by_id_.end()) {
+    replica_record& record = *known->second;
+    const bool is_same_life = record.stated.started_ms == stated.started_ms &&
+                              record.stated.address == stated.address &&
+                              record.stated.service == stated.service;
+    if (is_same_life) {
+      const bool was_usable = record.is_usable;
+      record.stated = stated;
+      record.cold_until = now + stated.warm_up_left;
+      record.is_usable = ShouldUse(stated);
+      return was_usable != record.is_usable;
+    }
+    Remove(stated.id);
+  }
+  auto record = std::make_shared<replica_record>();
+  record->stated = stated;
+  record->cold_until = now + stated.warm_up_left;
+  record->is_usable = ShouldUse(stated);
+  record->is_near = stated.data_centre == own_data_centre_;
+  by_service_[stated.service].push_back(record);
+  by_id_.emplace(stated.id, std::move(record));
+  return true;
+}
+
+bool replica_registry::Remove(const std::string& id) {
+  const auto known = by_id_.find(id);
+  if (known == by_id_.end()) {
+    return false;
+  }
+  known->second->is_usable = false;
+  Unlist(known->second);
+  by_id_.erase(known);
+  return true;
+}
+
+bool replica_registry::SetTakenOut(std::set<std::string> data_centres) {
+  if (data_centres == taken_out_) {
+    return false;
+  }
+  taken_out_ = std::move(data_centres);
+  for (const auto& [id, record] : by_id_) {
+    record->is_usable = ShouldUse(record->stated);
+  }
+  return true;
+}
+
+const replica_registry::record_list& replica_registry::OfService(const std::string& service) const {
+  static const record_list kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+std::shared_ptr<replica_record> replica_registry::Find(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+std::vector<std::string> replica_registry::Ids() const {
+  std::vector<std::string> ids;
+  ids.reserve(by_id_.size());
+  for (const auto& [id, record] : by_id_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/net/event_loop.h
@@ -0,0 +1,58 @@
+#ifndef LIMPETLEVER_NET_EVENT_LOOP_H_
+#define LIMPETLEVER_NET_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "base/time_types.h"
+#include "timer/timer_service.h"
+
+struct event;
+struct event_base;
+
+namespace limpetlever {
+
+/** The one thread of a serving process: sockets by libevent, time by timer_service. */
+class event_loop {
+ public:
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  /** Runs until Stop is called. */
+  void Run();
+  void Stop() { is_running_ = false; }
+
+  /** The time as of the last wake-up or call; one reading serves a whole batch of work. */
+  instant Now() const { return now_; }
+  /** Reads the clock, for measurements within a batch. */
+  instant UpdateNow();
+  timer_service& timers() { return timers_; }
+  event_base* base() { return base_; }
+
+  /** Calls `call` on the loop when the process receives `signal`. */
+  void OnSignal(int signal, std::function<void()> call);
+  /** Runs `call` after the current batch of work, before the loop waits again. */
+  void Defer(std::function<void()> call) { deferred_.push_back(std::move(call)); }
+
+ private:
+  struct signal_watch {
+    event* handle = nullptr;
+    std::function<void()> call;
+  };
+  void RunDeferred();
+
+  event_base* base_ = nullptr;
+  event* wake_timer_ = nullptr;
+  timer_service timers_;
+  std::vector<std::unique_ptr<signal_watch>> signals_;
+  std::vector<std::function<void()>> deferred_;
+  instant now_;
+  bool is_running_ = false;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_NET_EVENT_LOOP_H_
--- /dev/null
+++ b/src/limpetlever/net/http_client.cc
@@ -0,0 +1,148 @@
+#include "net/http_client.h"
+
+#include <charconv>
+#include <utility>
+
+#include "net/event_loop.h"
+
+namespace limpetlever {
+
+namespace {
+
+// Far above what any answer carries; guards the memory of a small host.
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+
+socket_handle HandleOrClosed(const socket_address& address) {
+  auto handle = BeginConnect(address);
+  return handle ? std::move(handle.value()) : socket_handle();
+}
+
+/** Reads "timeout=N" in seconds from a Keep-Alive field. */
+duration ReadIdleLimit(std::string_view value) {
+  constexpr std::string_view kKey = "timeout=";
+  const std::size_t at = value.find(kKey);
+  if (at == std::string_view::npos) {
+    return duration::zero();
+  }
+  int seconds = 0;
+  const char* begin = value.data() + at + kKey.size();
+  const auto [end, error] = std::from_chars(begin, value.data() + value.size(), seconds);
+  return error == std::errc() ? std::chrono::seconds(seconds) : duration::zero();
+}
+
+}  // namespace
+
+http_client::http_client(event_loop& loop,
+                         const socket_address& address,
+                         std::size_t max_body_bytes,
+                         duration unacknowledged_limit,
+                         handler& target)
+    : loop_(loop),
+      handler_(target),
+      reader_(http_reader::side::responses, kMaxHeaderBytes, max_body_bytes),
+      socket_(loop, HandleOrClosed(address), true, *this),
+      last_used_(loop.Now()) {
+  SetUnacknowledgedLimit(socket_.fd(), unacknowledged_limit);
+  SetKeepAliveProbes(socket_.fd());
+}
+
+void http_client::OnConnected() {
+  is_connected_ = true;
+  last_used_ = loop_.Now();
+  handler_.OnConnected(*this);
+}
+
+void http_client::Send(std::string_view request, bool is_head) {
+  is_busy_ = true;
+  reader_.Next();
+  reader_.ExpectNoBody(is_head);
+  socket_.Write(request);
+}
+
+bool http_client::TakeResponse() {
+  http_message& response = reader_.message();
+  is_reusable_ = response.keeps_alive;
+  if (const auto value = response.Find("Keep-Alive"); !value.empty()) {
+    idle_limit_ = ReadIdleLimit(value);
+  }
+  last_used_ = loop_.Now();
+  is_busy_ = false;
+  const bool is_ours = handler_.OnResponse(*this, response);
+  if (!is_ours) {
+    is_busy_ = true;
+    reader_.Next();
+  }
+  return is_ours;
+}
+
+void http_client::OnBytes(std::string_view bytes) {
+  if (!is_busy_) {
+    End(end_reason::unexpected_bytes);
+    return;
+  }
+  while (!bytes.empty()) {
+    bytes.remove_prefix(reader_.Feed(bytes));
+    if (reader_.current() == http_reader::state::reading) {
+      return;
+    }
+    if (reader_.current() != http_reader::state::complete) {
+      End(end_reason::malformed);
+      return;
+    }
+    if (!bytes.empty()) {
+      // Bytes after a whole answer belong to no request, so the connection is not used again.
+      reader_.message().keeps_alive = false;
+    }
+    if (TakeResponse()) {
+      return;
+    }
+  }
+}
+
+void http_client::OnEnd() {
+  if (!is_busy_) {
+    End(end_reason::idle_closed);
+    return;
+  }
+  reader_.FeedEnd();
+  if (reader_.current() == http_reader::state::complete) {
+    reader_.message().keeps_alive = false;
+    if (TakeResponse()) {
+      return;
+    }
+  }
+  End(end_reason::lost);
+}
+
+void http_client::OnError(int) {
+  if (!is_connected_) {
+    End(end_reason::not_connected);
+  } else {
+    End(is_busy_ ? end_reason::lost : end_reason::idle_closed);
+  }
+}
+
+void http_client::End(end_reason reason) {
+  if (!std::exchange(is_ended_, true)) {
+    is_reusable_ = false;
+    handler_.OnEnded(*this, reason);
+  }
+}
+
+const char* ToString(http_client::end_reason reason) {
+  switch (reason) {
+    case http_client::end_reason::not_connected:
+      return "not_connected";
+    case http_client::end_reason::idle_closed:
+      return "idle_closed";
+    case http_client::end_reason::unexpected_bytes:
+      return "unexpected_bytes";
+    case http_client::end_reason::lost:
+      return "lost";
+    case http_client::end_reason::malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/net/http_message.h
@@ -0,0 +1,61 @@
+#ifndef LIMPETLEVER_NET_HTTP_MESSAGE_H_
+#define LIMPETLEVER_NET_HTTP_MESSAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlever {
+
+/**
+ * One HTTP/1.1 request or response. Header text is kept in one buffer that is used again for the
+ * next message, so that reading a message allocates only while buffers grow.
+ */
+class http_message {
+ public:
+  struct field {
+    std::string_view name;
+    std::string_view value;
+  };
+
+  void Clear();
+  void AppendName(std::string_view text);
+  void AppendValue(std::string_view text);
+
+  std::size_t field_count() const { return fields_.size(); }
+  field FieldAt(std::size_t index) const;
+  /** The first field of that name, without regard to case; empty if there is none. */
+  std::string_view Find(std::string_view name) const;
+  bool Has(std::string_view name) const { return Count(name) > 0; }
+  std::size_t Count(std::string_view name) const;
+  /** Bytes of all names and values. */
+  std::size_t header_bytes() const { return text_.size(); }
+
+  /** Requests only. */
+  std::string method;
+  std::string target;
+  /** Responses only. */
+  int status = 0;
+  std::string body;
+  bool keeps_alive = true;
+
+ private:
+  struct span {
+    std::uint32_t name_at = 0;
+    std::uint32_t name_size = 0;
+    std::uint32_t value_at = 0;
+    std::uint32_t value_size = 0;
+  };
+  std::string text_;
+  std::vector<span> fields_;
+  bool is_in_value_ = true;
+};
+
+/** Whether two header names are the same; case does not count. */
+bool IsSameName(std::string_view a, std::string_view b);
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_NET_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/limpetlever/net/http_reader.cc
@@ -0,0 +1,175 @@
+#include "net/http_reader.h"
+
+namespace limpetlever {
+
+namespace {
+
+constexpr int kStatusNotAMessage = 199;  // 1xx responses precede the real one
+
+}  // namespace
+
+http_reader::http_reader(side kind, std::size_t max_header_bytes, std::size_t max_body_bytes)
+    : side_(kind), max_header_bytes_(max_header_bytes), max_body_bytes_(max_body_bytes) {
+  BeginMessage();
+}
+
+void http_reader::SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes) {
+  max_header_bytes_ = max_header_bytes;
+  max_body_bytes_ = max_body_bytes;
+}
+
+const http_parser_settings& http_reader::Settings() {
+  static const http_parser_settings kSettings = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_url = &http_reader::OnTarget;
+    settings.on_header_field = &http_reader::OnName;
+    settings.on_header_value = &http_reader::OnValue;
+    settings.on_headers_complete = &http_reader::OnHeadersComplete;
+    settings.on_body = &http_reader::OnBody;
+    settings.on_message_complete = &http_reader::OnMessageComplete;
+    return settings;
+  }();
+  return kSettings;
+}
+
+int http_reader::CheckHeaderSize() {
+  if (message_.header_bytes() + message_.target.size() > max_header_bytes_) {
+    state_ = state::header_too_large;
+    return 1;
+  }
+  return 0;
+}
+
+int http_reader::OnTarget(http_parser* parser, const char* at, std::size_t size) {
+  http_reader& self = Self(parser);
+  self.message_.target.append(at, size);
+  return self.CheckHeaderSize();
+}
+
+int http_reader::OnName(http_parser* parser, const char* at, std::size_t size) {
+  http_reader& self = Self(parser);
+  // Fields that follow a chunked body are not passed on.
+  if (self.has_header_) {
+    return 0;
+  }
+  self.message_.AppendName({at, size});
+  return self.CheckHeaderSize();
+}
+
+int http_reader::OnValue(http_parser* parser, const char* at, std::size_t size) {
+  http_reader& self = Self(parser);
+  if (self.has_header_) {
+    return 0;
+  }
+  self.message_.AppendValue({at, size});
+  return self.CheckHeaderSize();
+}
+
+int http_reader::OnHeadersComplete(http_parser* parser) {
+  http_reader& self = Self(parser);
+  self.has_header_ = true;
+  if (self.side_ == side::requests) {
+    self.message_.method = http_method_str(static_cast<http_method>(parser->method));
+    const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (has_length && parser->content_length > self.max_body_bytes_) {
+      self.state_ = state::body_too_large;
+      return -1;
+    }
+  } else {
+    self.message_.status = static_cast<int>(parser->status_code);
+  }
+  return self.expects_no_body_ ? 1 : 0;
+}
+
+int http_reader::OnBody(http_parser* parser, const char* at, std::size_t size) {
+  http_reader& self = Self(parser);
+  if (self.message_.body.size() + size > self.max_body_bytes_) {
+    self.state_ = state::body_too_large;
+    return 1;
+  }
+  self.message_.body.append(at, size);
+  return 0;
+}
+
+int http_reader::OnMessageComplete(http_parser* parser) {
+  http_reader& self = Self(parser);
+  if (self.side_ == side::responses && parser->status_code <= kStatusNotAMessage) {
+    self.message_.Clear();
+    self.has_header_ = false;
+    return 0;
+  }
+  self.message_.keeps_alive = http_should_keep_alive(parser) != 0;
+  self.state_ = state::complete;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+bool http_reader::HasAmbiguousLines(std::string_view bytes) {
+  for (const char byte : bytes) {
+    const bool is_bare_line_end = byte == '\n' && last_byte_ != '\r';
+    const bool is_folded = last_byte_ == '\n' && (byte == ' ' || byte == '\t');
+    if (is_bare_line_end || is_folded) {
+      return true;
+    }
+    if (byte == '\n') {
+      is_header_checked_ = has_start_line_ && line_bytes_ == 0;
+      if (is_header_checked_) {
+        return false;
+      }
+      has_start_line_ = has_start_line_ || line_bytes_ > 0;
+      line_bytes_ = 0;
+    } else if (byte != '\r') {
+      ++line_bytes_;
+    }
+    last_byte_ = byte;
+  }
+  return false;
+}
+
+std::size_t http_reader::Feed(std::string_view bytes) {
+  if (state_ != state::reading || bytes.empty()) {
+    return 0;
+  }
+  if (!is_header_checked_ && HasAmbiguousLines(bytes)) {
+    state_ = state::malformed;
+    return bytes.size();
+  }
+  has_begun_ = true;
+  const std::size_t used = http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  if (error != HPE_OK && error != HPE_PAUSED && state_ == state::reading) {
+    state_ = state::malformed;
+  }
+  return used;
+}
+
+void http_reader::FeedEnd() {
+  if (state_ != state::reading || !has_begun_) {
+    return;
+  }
+  http_parser_execute(&parser_, &Settings(), nullptr, 0);
+  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  if (state_ == state::reading && error != HPE_OK) {
+    state_ = state::malformed;
+  }
+}
+
+void http_reader::BeginMessage() {
+  http_parser_init(&parser_, side_ == side::requests ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  state_ = state::reading;
+  has_begun_ = false;
+  has_header_ = false;
+  last_byte_ = 0;
+  line_bytes_ = 0;
+  has_start_line_ = false;
+  is_header_checked_ = false;
+}
+
+void http_reader::Next() {
+  message_.Clear();
+  BeginMessage();
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/net/http_reader.h
@@ -0,0 +1,79 @@
+#ifndef LIMPETLEVER_NET_HTTP_READER_H_
+#define LIMPETLEVER_NET_HTTP_READER_H_
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <string_view>
+
+#include "net/http_message.h"
+
+namespace limpetlever {
+
+/** Reads messages of one connection, one at a time, by the http-parser library. */
+class http_reader {
+ public:
+  enum class side { requests, responses };
+  enum class state {
+    /** Needs more bytes. */
+    reading,
+    /** message() is whole; Next() begins the next one. */
+    complete,
+    /** Not valid HTTP, or a shape that two readers may understand differently. */
+    malformed,
+    header_too_large,
+    body_too_large
+  };
+
+  http_reader(side kind, std::size_t max_header_bytes, std::size_t max_body_bytes);
+  http_reader(const http_reader&) = delete;
+  http_reader& operator=(const http_reader&) = delete;
+
+  /** Reads up to the end of one message; returns how many bytes were used. */
+  std::size_t Feed(std::string_view bytes);
+  /** The peer closed its side in an orderly way. May complete a response without a length. */
+  void FeedEnd();
+  /** Begins the next message on the same connection. */
+  void Next();
+  /** Responses to this method carry no body. */
+  void ExpectNoBody(bool is_expected) { expects_no_body_ = is_expected; }
+  void SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes);
+
+  state current() const { return state_; }
+  /** Whether a part of a message has arrived. */
+  bool HasBegun() const { return has_begun_; }
+  bool HasHeader() const { return has_header_; }
+  http_message& message() { return message_; }
+
+ private:
+  static http_reader& Self(http_parser* parser) { return *static_cast<http_reader*>(parser->data); }
+  static const http_parser_settings& Settings();
+  static int OnTarget(http_parser* parser, const char* at, std::size_t size);
+  static int OnName(http_parser* parser, const char* at, std::size_t size);
+  static int OnValue(http_parser* parser, const char* at, std::size_t size);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* at, std::size_t size);
+  static int OnMessageComplete(http_parser* parser);
+  /** Whether header bytes have a line end without a carriage return or a folded line. */
+  bool HasAmbiguousLines(std::string_view bytes);
+  void BeginMessage();
+  int CheckHeaderSize();
+
+  const side side_;
+  std::size_t max_header_bytes_;
+  std::size_t max_body_bytes_;
+  http_parser parser_{};
+  http_message message_;
+  state state_ = state::reading;
+  bool has_begun_ = false;
+  bool has_header_ = false;
+  bool expects_no_body_ = false;
+  char last_byte_ = 0;
+  std::size_t line_bytes_ = 0;
+  bool has_start_line_ = false;
+  bool is_header_checked_ = false;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_NET_HTTP_READER_H_
--- /dev/null
+++ b/src/limpetlever/net/http_server.h
@@ -0,0 +1,66 @@
+#ifndef LIMPETLEVER_NET_HTTP_SERVER_H_
+#define LIMPETLEVER_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "base/result.h"
+#include "base/socket_address.h"
+#include "config/caller_limits.h"
+#include "net/io_watch.h"
+#include "net/socket.h"
+#include "timer/timer_service.h"
+
+namespace limpetlever {
+
+class event_loop;
+class server_connection;
+
+/** Listens on one address and hands each whole request to a function. */
+class http_server : public io_watch::handler {
+ public:
+  /** Called for each request; the answer goes by server_connection::Answer, now or later. */
+  using request_function = std::function<void(const std::shared_ptr<server_connection>&)>;
+
+  http_server(event_loop& loop, socket_handle listener, request_function on_request);
+  ~http_server() override;
+
+  void SetLimits(const caller_limits& limits) { limits_ = limits; }
+  const caller_limits& limits() const { return limits_; }
+  /** Refuses connections beyond this number; the next to come waits in the kernel's queue. */
+  void SetMostConnections(std::size_t most) { most_connections_ = most; }
+  /** From now on each answer closes its connection. */
+  void BeginDrain() { is_draining_ = true; }
+  bool IsDraining() const { return is_draining_; }
+  /** Accepts no further connection. */
+  void StopListening();
+  std::size_t connection_count() const { return connections_.size(); }
+  /** Connections with a request that is not answered yet. */
+  std::size_t busy_count() const;
+
+  event_loop& loop() { return loop_; }
+
+ private:
+  friend class server_connection;
+  void OnReadable() override;
+  void OnWritable() override {}
+  void Remove(server_connection& connection);
+  void CloseOverdue();
+
+  event_loop& loop_;
+  socket_handle listener_;
+  std::unique_ptr<io_watch> watch_;
+  request_function on_request_;
+  caller_limits limits_;
+  std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
+  std::size_t most_connections_ = 0;
+  timer_service::timer_id sweep_ = 0;
+  bool is_draining_ = false;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/limpetlever/net/http_text.cc
@@ -0,0 +1,69 @@
+#include "net/http_text.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+
+#include "net/http_message.h"
+
+namespace limpetlever {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopFields = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Authenticate",
+                                                        "Proxy-Authorization",
+                                                        "Proxy-Connection",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Transfer-Encoding",
+                                                        "Upgrade"};
+
+}  // namespace
+
+void AppendStatusLine(std::string& out, int status) {
+  out += "HTTP/1.1 ";
+  out += std::to_string(status);
+  out += ' ';
+  out += http_status_str(static_cast<http_status>(status));
+  out += "\r\n";
+}
+
+void AppendRequestLine(std::string& out, std::string_view method, std::string_view target) {
+  out += method;
+  out += ' ';
+  out += target;
+  out += " HTTP/1.1\r\n";
+}
+
+void AppendField(std::string& out, std::string_view name, std::string_view value) {
+  out += name;
+  out += ": ";
+  out += value;
+  out += "\r\n";
+}
+
+void AppendBody(std::string& out, std::string_view body) {
+  AppendField(out, "Content-Length", std::to_string(body.size()));
+  out += "\r\n";
+  out += body;
+}
+
+std::string SimpleResponse(int status, std::string_view content_type, std::string_view body) {
+  std::string out;
+  AppendStatusLine(out, status);
+  if (!content_type.empty()) {
+    AppendField(out, "Content-Type", content_type);
+  }
+  AppendBody(out, body);
+  return out;
+}
+
+bool IsHopField(std::string_view name) {
+  return std::any_of(kHopFields.begin(), kHopFields.end(),
+                     [name](std::string_view hop) { return IsSameName(name, hop); });
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/net/server_connection.cc
@@ -0,0 +1,159 @@
+#include "net/server_connection.h"
+
+#include <utility>
+
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "net/http_text.h"
+
+namespace limpetlever {
+
+namespace {
+
+// Pipelined bytes that are held while a request waits; beyond that the caller has to wait.
+constexpr std::size_t kMostPendingBytes = 64 * 1024;
+// How long a caller may take to close its side after the last answer.
+constexpr duration kLingerTime = std::chrono::seconds(1);
+constexpr int kBadRequest = 400;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+}  // namespace
+
+server_connection::server_connection(http_server& server, socket_handle handle)
+    : server_(server),
+      socket_(server.loop(), std::move(handle), false, *this),
+      reader_(http_reader::side::requests,
+              server.limits().max_header_bytes,
+              server.limits().max_body_bytes),
+      last_activity_(server.loop().Now()) {}
+
+void server_connection::OnBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  last_activity_ = server_.loop().Now();
+  if (closes_after_write_) {
+    return;
+  }
+  if (is_waiting_) {
+    pending_ += bytes;
+    if (pending_.size() > kMostPendingBytes) {
+      socket_.PauseReading(true);
+    }
+    return;
+  }
+  Read(bytes);
+}
+
+void server_connection::Read(std::string_view bytes) {
+  // An answer that is given at once must not read the next request from within this one.
+  is_reading_ = true;
+  while (is_open_ && !bytes.empty() && !is_waiting_ && !closes_after_write_) {
+    bytes.remove_prefix(reader_.Feed(bytes));
+    switch (reader_.current()) {
+      case http_reader::state::reading:
+        is_reading_ = false;
+        return;
+      case http_reader::state::malformed:
+        Refuse(kBadRequest);
+        break;
+      case http_reader::state::header_too_large:
+        Refuse(kHeaderTooLarge);
+        break;
+      case http_reader::state::body_too_large:
+        Refuse(kBodyTooLarge);
+        break;
+      case http_reader::state::complete:
+        if (request().Count("Host") != 1) {
+          Refuse(kBadRequest);
+          break;
+        }
+        is_waiting_ = true;
+        request_time_ = server_.loop().Now();
+        server_.on_request_(shared_from_this());
+        break;
+    }
+  }
+  is_reading_ = false;
+  if (is_waiting_) {
+    pending_ += bytes;
+  }
+}
+
+void server_connection::Answer(std::string_view head, std::string_view body, bool is_last) {
+  if (!is_open_ || !is_waiting_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  is_waiting_ = false;
+  on_caller_left_ = nullptr;
+  const bool closes = is_last || server_.IsDraining() || !request().keeps_alive;
+  std::string out;
+  out.reserve(head.size() + body.size() + 64);
+  out += head;
+  if (closes) {
+    AppendField(out, "Connection", "close");
+  }
+  if (request().method == "HEAD") {
+    AppendField(out, "Content-Length", std::to_string(body.size()));
+    out += "\r\n";
+  } else {
+    AppendBody(out, body);
+  }
+  last_activity_ = server_.loop().Now();
+  reader_.Next();
+  reader_.SetLimits(server_.limits().max_header_bytes, server_.limits().max_body_bytes);
+  socket_.Write(out);
+  if (closes) {
+    // Closing at once could reset the connection and take the answer with it.
+    closes_after_write_ = true;
+    pending_.clear();
+    socket_.EndWriting();
+    return;
+  }
+  if (!is_reading_ && !pending_.empty()) {
+    const std::string bytes = std::exchange(pending_, {});
+    socket_.PauseReading(false);
+    Read(bytes);
+  }
+}
+
+void server_connection::Refuse(int status) {
+  is_waiting_ = true;
+  std::string head;
+  AppendStatusLine(head, status);
+  Answer(head, {}, true);
+}
+
+void server_connection::OnEnd() {
+  const auto self = shared_from_this();
+  Close();
+}
+
+void server_connection::OnError(int) {
+  const auto self = shared_from_this();
+  Close();
+}
+
+void server_connection::Close() {
+  if (!std::exchange(is_open_, false)) {
+    return;
+  }
+  socket_.PauseReading(true);
+  if (const auto call = std::exchange(on_caller_left_, nullptr); call && is_waiting_) {
+    call();
+  }
+  server_.Remove(*this);
+}
+
+bool server_connection::IsOverdue(instant now) const {
+  if (is_waiting_) {
+    return false;
+  }
+  if (closes_after_write_) {
+    return now - last_activity_ > kLingerTime;
+  }
+  const auto& limits = server_.limits();
+  return now - last_activity_ > (reader_.HasBegun() ? limits.header_timeout : limits.idle_timeout);
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/net/socket.cc
@@ -0,0 +1,145 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <string>
+
+namespace limpetlever {
+
+namespace {
+
+// Longest queue of connections that wait to be accepted. A full queue drops the opening packet,
+// which is sent again only after a second.
+constexpr int kBacklog = 512;
+// A silent connection must be found before the 4 s after which a host counts as undisturbed.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+result<sockaddr_in> ToSockaddr(const socket_address& address) {
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(address.port);
+  if (inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr) != 1) {
+    return failure{std::make_error_code(std::errc::invalid_argument),
+                   "\"" + address.ip + "\" is not an IPv4 number"};
+  }
+  return target;
+}
+
+failure SystemFailure(const std::string& what, const socket_address& address) {
+  const int error = errno;
+  return {
+      std::error_code(error, std::system_category()),
+      what + " " + address.ip + ":" + std::to_string(address.port) + ": " + std::strerror(error)};
+}
+
+void SetOption(int fd, int level, int option, int value) {
+  setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+socket_handle& socket_handle::operator=(socket_handle&& other) noexcept {
+  if (this != &other) {
+    if (fd_ >= 0) {
+      close(fd_);
+    }
+    fd_ = std::exchange(other.fd_, -1);
+  }
+  return *this;
+}
+
+socket_handle::~socket_handle() {
+  if (fd_ >= 0) {
+    close(fd_);
+  }
+}
+
+void socket_handle::Reset() {
+  if (fd_ >= 0) {
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(std::exchange(fd_, -1));
+  }
+}
+
+result<socket_handle> Listen(const socket_address& address) {
+  const auto target = ToSockaddr(address);
+  if (!target) {
+    return target.error();
+  }
+  socket_handle handle(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  SetOption(handle.fd(), SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(handle.fd(), reinterpret_cast<const sockaddr*>(&*target), sizeof(*target)) != 0 ||
+      listen(handle.fd(), kBacklog) != 0) {
+    return SystemFailure("cannot listen on", address);
+  }
+  return handle;
+}
+
+result<socket_handle> BeginConnect(const socket_address& address) {
+  const auto target = ToSockaddr(address);
+  if (!target) {
+    return target.error();
+  }
+  socket_handle handle(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!handle.is_open()) {
+    return SystemFailure("cannot open a socket to", address);
+  }
+  // Requests are small and written whole; waiting for an acknowledgement would add 40 ms.
+  SetOption(handle.fd(), IPPROTO_TCP, TCP_NODELAY, 1);
+  if (connect(handle.fd(), reinterpret_cast<const sockaddr*>(&*target), sizeof(*target)) != 0 &&
+      errno != EINPROGRESS) {
+    return SystemFailure("cannot connect to", address);
+  }
+  return handle;
+}
+
+int ConnectError(int fd) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+    return errno;
+  }
+  return error;
+}
+
+result<socket_handle> BindDatagram(const socket_address& address) {
+  const auto target = ToSockaddr(address);
+  if (!target) {
+    return target.error();
+  }
+  socket_handle handle(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (bind(handle.fd(), reinterpret_cast<const sockaddr*>(&*target), sizeof(*target)) != 0) {
+    return SystemFailure("cannot bind", address);
+  }
+  return handle;
+}
+
+socket_handle Accept(int listener_fd) {
+  socket_handle handle(accept4(listener_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (handle.is_open()) {
+    SetOption(handle.fd(), IPPROTO_TCP, TCP_NODELAY, 1);
+  }
+  return handle;
+}
+
+void SetUnacknowledgedLimit(int fd, duration limit) {
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count()));
+}
+
+void SetKeepAliveProbes(int fd) {
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/node/node_metrics.cc
@@ -0,0 +1,129 @@
+#include "node/node_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace limpetlever {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+// Seconds; closest around the targets of 40 to 600 ms that the users state.
+const prometheus::Histogram::BucketBoundaries kSecondsBounds = {
+    0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0};
+
+prometheus::Counter& AddCounter(prometheus::Registry& registry,
+                                const std::string& name,
+                                const std::string& help) {
+  return BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge& AddGauge(prometheus::Registry& registry,
+                            const std::string& name,
+                            const std::string& help) {
+  return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}  // namespace
+
+node_metrics::node_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      answers_(BuildCounter()
+                   .Name("limpetlever_answers_total")
+                   .Help("Answers to callers by status")
+                   .Register(*registry_)),
+      seconds_(BuildHistogram()
+                   .Name("limpetlever_answer_seconds")
+                   .Help("Time from the request to the answer by priority")
+                   .Register(*registry_)),
+      attempts_(BuildCounter()
+                    .Name("limpetlever_attempts_total")
+                    .Help("Requests sent to backend servers by reason")
+                    .Register(*registry_)),
+      partial_(
+          AddCounter(*registry_, "limpetlever_partial_answers_total", "Answers that lack shards")),
+      callers_left_(AddCounter(*registry_,
+                               "limpetlever_callers_left_total",
+                               "Callers that left before the answer")),
+      attempts_failed_(AddCounter(*registry_,
+                                  "limpetlever_attempts_failed_total",
+                                  "Attempts without an answer that counts")),
+      budget_empty_(AddCounter(*registry_,
+                               "limpetlever_retry_budget_empty_total",
+                               "Hedges and retries that the budget did not allow")),
+      connections_(AddCounter(*registry_,
+                              "limpetlever_connections_opened_total",
+                              "Connections opened to backend servers")),
+      store_reachable_(
+          AddGauge(*registry_, "limpetlever_store_reachable", "1 while the store answers")),
+      config_version_(AddGauge(*registry_,
+                               "limpetlever_config_version",
+                               "Version of the configuration in force")),
+      replicas_(AddGauge(*registry_, "limpetlever_backend_servers", "Known backend servers")),
+      peers_(AddGauge(*registry_, "limpetlever_hosts_alive", "Hosts believed to be alive")),
+      log_dropped_(AddGauge(*registry_,
+                            "limpetlever_log_lines_dropped",
+                            "Log lines dropped since the start")) {}
+
+node_metrics::~node_metrics() = default;
+
+void node_metrics::OnAnswered(int status, int priority, duration elapsed, int missing_parts) {
+  answers_.Add({{"status", std::to_string(status)}}).Increment();
+  seconds_.Add({{"priority", std::to_string(priority)}}, kSecondsBounds)
+      .Observe(std::chrono::duration<double>(elapsed).count());
+  if (missing_parts > 0) {
+    partial_.Increment();
+  }
+}
+
+void node_metrics::OnCallerLeft() {
+  callers_left_.Increment();
+}
+
+void node_metrics::OnAttempt(send_reason reason) {
+  attempts_.Add({{"reason", ToString(reason)}}).Increment();
+}
+
+void node_metrics::OnAttemptFailed() {
+  attempts_failed_.Increment();
+}
+
+void node_metrics::OnBudgetEmpty(int count) {
+  budget_empty_.Increment(count);
+}
+
+void node_metrics::OnConnectionOpened() {
+  connections_.Increment();
+}
+
+void node_metrics::OnStoreReachable(bool is_reachable) {
+  store_reachable_.Set(is_reachable ? 1.0 : 0.0);
+}
+
+void node_metrics::SetConfigVersion(double version) {
+  config_version_.Set(version);
+}
+
+void node_metrics::SetReplicas(double count) {
+  replicas_.Set(count);
+}
+
+void node_metrics::SetPeers(double alive) {
+  peers_.Set(alive);
+}
+
+void node_metrics::SetLogLinesDropped(double count) {
+  log_dropped_.Set(count);
+}
+
+std::string node_metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/node/node_server.cc
@@ -0,0 +1,316 @@
+#include "node/node_server.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <optional>
+#include <utility>
+
+#include "base/hash.h"
+#include "config/route_table.h"
+#include "membership/host_choice.h"
+#include "net/http_text.h"
+#include "net/server_connection.h"
+#include "platform/directory_codec.h"
+#include "replicas/replica.h"
+#include "replicas/replica_record.h"
+
+namespace limpetlever {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr const char* kJson = "application/json";
+// Some callers keep an answer three times as long, so a host that leaves serves on for 3 times 1.2
+// s.
+constexpr duration kAdviceLifetime = std::chrono::milliseconds(1200);
+constexpr int kLifetimesKept = 3;
+// Left of the grace time for the exit itself.
+constexpr duration kExitMargin = std::chrono::milliseconds(400);
+constexpr duration kDrainCheck = std::chrono::milliseconds(100);
+// The settings file may change without a signal.
+constexpr duration kSettingsCheck = std::chrono::seconds(2);
+// Descriptors kept for files, the store, peers and connections to backend servers.
+constexpr int kReservedDescriptors = 200;
+
+std::string ToText(const socket_address& address) {
+  return address.ip + ":" + std::to_string(address.port);
+}
+
+std::uint64_t Seed(const node_settings& settings) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch().count();
+  return Combine(Hash(settings.name), static_cast<std::uint64_t>(now));
+}
+
+member SelfOf(const node_settings& settings) {
+  const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+  return {.name = settings.name,
+          .region = settings.region,
+          .data_centre = settings.data_centre,
+          .http_address = ToText(settings.caller_address),
+          .peer_address = ToText(settings.peer_address),
+          .incarnation = now.time_since_epoch().count()};
+}
+
+}  // namespace
+
+result<std::unique_ptr<node_server>> node_server::Create(std::string settings_path,
+                                                         node_settings settings) {
+  listeners sockets;
+  const auto listen = [](const socket_address& address, socket_handle& into) {
+    auto handle = Listen(address);
+    if (handle) {
+      into = std::move(handle.value());
+    }
+    return handle ? std::nullopt : std::optional(handle.error());
+  };
+  for (const auto& [address, into] : {std::pair{&settings.caller_address, &sockets.callers},
+                                      std::pair{&settings.readiness_address, &sockets.readiness},
+                                      std::pair{&settings.metrics_address, &sockets.metrics}}) {
+    if (auto error = listen(*address, *into)) {
+      return *error;
+    }
+  }
+  if (settings.directory_address) {
+    if (auto error = listen(*settings.directory_address, sockets.directory)) {
+      return *error;
+    }
+  }
+  auto peers = BindDatagram(settings.peer_address);
+  if (!peers) {
+    return peers.error();
+  }
+  sockets.peers = std::move(peers.value());
+  return std::unique_ptr<node_server>(
+      new node_server(std::move(settings_path), std::move(settings), std::move(sockets)));
+}
+
+node_server::node_server(std::string settings_path, node_settings settings, listeners sockets)
+    : settings_path_(std::move(settings_path)),
+      settings_(std::move(settings)),
+      log_(loop_, settings_.name, STDOUT_FILENO),
+      replicas_(settings_.data_centre),
+      pools_(loop_, metrics_),
+      query_(loop_, replicas_, pools_, log_, metrics_, Seed(settings_)),
+      peers_(loop_, log_, std::move(sockets.peers), SelfOf(settings_), Seed(settings_)),
+      feed_(loop_, settings_.store_address, Seed(settings_), *this),
+      registration_(loop_, settings_.store_address, Seed(settings_) + 1, *this),
+      callers_(loop_,
+               std::move(sockets.callers),
+               [this](const auto& caller) { query_.Handle(caller); }),
+      readiness_(loop_,
+                 std::move(sockets.readiness),
+                 [this](const auto& caller) { HandleReadiness(caller); }),
+      metrics_server_(loop_, std::move(sockets.metrics), [this](const auto& caller) {
+        HandleMetrics(caller);
+      }) {
+  if (sockets.directory.is_open()) {
+    directory_ =
+        std::make_unique<http_server>(loop_, std::move(sockets.directory),
+                                      [this](const auto& caller) { HandleDirectory(caller); });
+  }
+  UseSettings(settings_);
+  peers_.OnChange([this] { UseShares(); });
+  loop_.OnSignal(SIGTERM, [this] { Leave(); });
+  loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
+  loop_.timers().SubscribeEvery(loop_.Now() + kSettingsCheck, kSettingsCheck,
+                                [this](instant) { CheckSettingsFile(); });
+}
+
+node_server::~node_server() = default;
+
+void node_server::Run() {
+  log_.Record(event_number::node_started, {{"caller_address", ToText(settings_.caller_address)},
+                                           {"peer_address", ToText(settings_.peer_address)},
+                                           {"store_address", ToText(settings_.store_address)},
+                                           {"incarnation", peers_.SelfEntry().incarnation}});
+  registration_.Start(settings_.name, platform::EncodeHost(peers_.SelfEntry()));
+  feed_.Start();
+  loop_.Run();
+  log_.Record(event_number::node_stopped, {{"unanswered", query_.running_count()}});
+  log_.Flush();
+}
+
+void node_server::UseSettings(const node_settings& settings) {
+  settings_ = settings;
+  callers_.SetMostConnections(
+      static_cast<std::size_t>((settings_.max_descriptors - kReservedDescriptors) / 2));
+  UseShares();
+}
+
+void node_server::UseShares() {
+  const auto members = peers_.Members();
+  const auto hosts = std::count_if(members.begin(), members.end(), [](const member& host) {
+    return host.state != member_state::dead;
+  });
+  metrics_.SetPeers(static_cast<double>(hosts));
+  query_.UseRetryTerms(
+      ShareOfFleet(settings_.retry_ratio, settings_.retry_slack, static_cast<int>(hosts)));
+  if (query_.table()) {
+    pools_.UseLimits(*query_.table(), static_cast<int>(hosts));
+  }
+}
+
+void node_server::Reload(const char* cause) {
+  const auto settings = ReadNodeSettings(settings_path_);
+  if (!settings) {
+    log_.Record(event_number::settings_refused, {{"message", settings.error().message}});
+    return;
+  }
+  const bool has_changed = *settings != settings_;
+  if (has_changed) {
+    UseSettings(*settings);
+  }
+  log_.Record(event_number::node_settings_loaded,
+              {{"cause", cause}, {"changed", has_changed ? 1 : 0}});
+}
+
+void node_server::CheckSettingsFile() {
+  // A file that is being rewritten is read again at the next check.
+  const auto settings = ReadNodeSettings(settings_path_);
+  if (settings && *settings != settings_) {
+    Reload("file_changed");
+  }
+}
+
+void node_server::HandleReadiness(const std::shared_ptr<server_connection>& caller) {
+  const bool is_known = platform::IsReadinessRequest(caller->request().target);
+  std::string head;
+  AppendStatusLine(head, !is_known ? kNotFound : IsReady() ? kOk : kUnavailable);
+  caller->Answer(head, {});
+}
+
+void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
+  metrics_.SetLogLinesDropped(static_cast<double>(log_.dropped()));
+  metrics_.SetReplicas(static_cast<double>(replicas_.size()));
+  std::string head;
+  AppendStatusLine(head, kOk);
+  AppendField(head, "Content-Type", "text/plain; version=0.0.4");
+  caller->Answer(head, metrics_.Text());
+}
+
+void node_server::HandleDirectory(const std::shared_ptr<server_connection>& caller) {
+  const auto request = platform::ReadDirectoryRequest(caller->request().target);
+  std::string head;
+  if (!request) {
+    AppendStatusLine(head, kNotFound);
+    caller->Answer(head, {});
+    return;
+  }
+  const auto hosts = ChooseHosts(peers_.Members(), request->data_centre);
+  if (hosts.empty()) {
+    AppendStatusLine(head, kUnavailable);
+    caller->Answer(head, {});
+    return;
+  }
+  AppendStatusLine(head, kOk);
+  AppendField(head, "Content-Type", kJson);
+  caller->Answer(head, platform::WriteDirectoryAnswer(
+                           hosts, std::min(kAdviceLifetime, settings_.max_advice_lifetime)));
+}
+
+void node_server::Leave() {
+  if (std::exchange(is_leaving_, true)) {
+    return;
+  }
+  log_.Record(event_number::node_leaving, {{"running", query_.running_count()}});
+  peers_.Leave();
+  registration_.Leave();
+  callers_.BeginDrain();
+  const instant since = loop_.Now();
+  loop_.timers().SubscribeEvery(since + kDrainCheck, kDrainCheck,
+                                [this, since](instant) { CheckDrained(since); });
+}
+
+void node_server::CheckDrained(instant leaving_since) {
+  const duration elapsed = loop_.Now() - leaving_since;
+  const bool has_lingered = elapsed >= kAdviceLifetime * kLifetimesKept;
+  const bool is_idle = query_.running_count() == 0 && callers_.busy_count() == 0;
+  if ((has_lingered && is_idle) || elapsed >= settings_.grace_time - kExitMargin) {
+    loop_.Stop();
+  }
+}
+
+void node_server::OnRouteTable(std::shared_ptr<const route_table> table) {
+  const auto& current = query_.table();
+  if (current && table->version() <= current->version()) {
+    return;
+  }
+  log_.Record(event_number::config_adopted, {{"version", table->version()},
+                                             {"before", current ? current->version() : 0},
+                                             {"routes", table->routes().size()}});
+  metrics_.SetConfigVersion(static_cast<double>(table->version()));
+  callers_.SetLimits(table->limits());
+  query_.UseRouteTable(std::move(table));
+  UseShares();
+}
+
+void node_server::OnRouteTableRefused(const failure& reason) {
+  log_.Record(event_number::config_refused, {{"message", reason.message}});
+}
+
+void node_server::OnReplica(const replica& stated) {
+  if (replicas_.Put(stated, loop_.Now())) {
+    log_.Record(event_number::replica_changed,
+                {{"replica", stated.id},
+                 {"service", stated.service},
+                 {"address", ToText(stated.address)},
+                 {"state", stated.is_draining ? "draining" : "ready"},
+                 {"started_ms", stated.started_ms}});
+  }
+}
+
+void node_server::OnReplicaRemoved(const std::string& id) {
+  if (replicas_.Remove(id)) {
+    log_.Record(event_number::replica_removed, {{"replica", id}});
+  }
+}
+
+void node_server::OnReplicaRefused(const std::string& id, const failure& reason) {
+  replicas_.Remove(id);
+  log_.Record(event_number::replica_entry_refused, {{"replica", id}, {"message", reason.message}});
+}
+
+void node_server::OnDataCentresTakenOut(std::set<std::string> data_centres) {
+  std::string names;
+  for (const std::string& name : data_centres) {
+    names += (names.empty() ? "" : ",") + name;
+  }
+  if (replicas_.SetTakenOut(std::move(data_centres))) {
+    log_.Record(event_number::data_centres_taken_out, {{"data_centres", names}});
+  }
+}
+
+void node_server::OnHosts(const std::vector<gossip_entry>& hosts) {
+  const auto own = peers_.SelfEntry();
+  const bool is_listed = std::any_of(hosts.begin(), hosts.end(), [&own](const gossip_entry& host) {
+    return host.key == own.key && host.incarnation == own.incarnation;
+  });
+  if (!is_listed) {
+    registration_.OnEntryMissing();
+  }
+  peers_.UseList(hosts);
+}
+
+void node_server::OnStoreLost(int status) {
+  metrics_.OnStoreReachable(false);
+  log_.Record(event_number::store_lost, {{"status", status}});
+}
+
+void node_server::OnStoreRegained(duration outage) {
+  metrics_.OnStoreReachable(true);
+  log_.Record(event_number::store_regained, {{"outage_ms", outage}});
+}
+
+void node_server::OnStoreHistoryLost(std::int64_t revision) {
+  log_.Record(event_number::store_history_lost, {{"revision", revision}});
+}
+
+void node_server::OnRegistered(std::int64_t lease) {
+  log_.Record(event_number::host_registered, {{"lease", lease}});
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/node/node_server.h
@@ -0,0 +1,89 @@
+#ifndef LIMPETLEVER_NODE_NODE_SERVER_H_
+#define LIMPETLEVER_NODE_NODE_SERVER_H_
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/control_sink.h"
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "node/log_writer.h"
+#include "node/node_metrics.h"
+#include "node/node_settings.h"
+#include "node/peer_service.h"
+#include "node/query_service.h"
+#include "node/replica_pools.h"
+#include "platform/control_feed.h"
+#include "platform/host_registration.h"
+#include "replicas/replica_registry.h"
+
+namespace limpetlever {
+
+/** The serving process of one host: wires the parts together and goes through start and stop. */
+class node_server : public control_sink {
+ public:
+  /** Binds all addresses; a failure names the address. */
+  static result<std::unique_ptr<node_server>> Create(std::string settings_path,
+                                                     node_settings settings);
+  ~node_server() override;
+
+  /** Serves until SIGTERM, and then until the requests under way are answered. */
+  void Run();
+
+ private:
+  struct listeners {
+    socket_handle callers;
+    socket_handle readiness;
+    socket_handle directory;
+    socket_handle metrics;
+    socket_handle peers;
+  };
+  node_server(std::string settings_path, node_settings settings, listeners sockets);
+
+  void HandleReadiness(const std::shared_ptr<server_connection>& caller);
+  void HandleDirectory(const std::shared_ptr<server_connection>& caller);
+  void HandleMetrics(const std::shared_ptr<server_connection>& caller);
+  void Reload(const char* cause);
+  void CheckSettingsFile();
+  void UseSettings(const node_settings& settings);
+  void UseShares();
+  void Leave();
+  void CheckDrained(instant leaving_since);
+  bool IsReady() const { return query_.table() != nullptr && !is_leaving_; }
+
+  void OnRouteTable(std::shared_ptr<const route_table> table) override;
+  void OnRouteTableRefused(const failure& reason) override;
+  void OnReplica(const replica& stated) override;
+  void OnReplicaRemoved(const std::string& id) override;
+  void OnReplicaRefused(const std::string& id, const failure& reason) override;
+  void OnDataCentresTakenOut(std::set<std::string> data_centres) override;
+  void OnHosts(const std::vector<gossip_entry>& hosts) override;
+  void OnStoreLost(int status) override;
+  void OnStoreRegained(duration outage) override;
+  void OnStoreHistoryLost(std::int64_t revision) override;
+  void OnRegistered(std::int64_t lease) override;
+
+  const std::string settings_path_;
+  node_settings settings_;
+  event_loop loop_;
+  log_writer log_;
+  node_metrics metrics_;
+  replica_registry replicas_;
+  replica_pools pools_;
+  query_service query_;
+  peer_service peers_;
+  platform::control_feed feed_;
+  platform::host_registration registration_;
+  http_server callers_;
+  http_server readiness_;
+  http_server metrics_server_;
+  std::unique_ptr<http_server> directory_;
+  bool is_leaving_ = false;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_NODE_NODE_SERVER_H_
--- /dev/null
+++ b/src/limpetlever/node/peer_service.h
@@ -0,0 +1,79 @@
+#ifndef LIMPETLEVER_NODE_PEER_SERVICE_H_
+#define LIMPETLEVER_NODE_PEER_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/gossip_entry.h"
+#include "membership/member.h"
+#include "membership/member_tracker.h"
+#include "membership/peer_message.h"
+#include "net/io_watch.h"
+#include "net/socket.h"
+#include "timer/timer_service.h"
+
+namespace limpetlever {
+
+class event_loop;
+class log_writer;
+
+/** Probes other hosts by datagrams and keeps member_tracker's view of them. */
+class peer_service : public io_watch::handler {
+ public:
+  peer_service(event_loop& loop,
+               log_writer& log,
+               socket_handle socket,
+               member self,
+               std::uint64_t seed);
+  ~peer_service() override;
+
+  /** The hosts that are registered in the store. */
+  void UseList(const std::vector<gossip_entry>& hosts);
+  /** Hosts that callers may be sent to, this one included unless it leaves. */
+  std::vector<member> Members() const;
+  /** Called when Members() has changed. */
+  void OnChange(std::function<void()> call) { on_change_ = std::move(call); }
+  void Leave();
+  /** This host's own entry, for the store. */
+  gossip_entry SelfEntry() const;
+
+ private:
+  struct relayed_probe {
+    socket_address asker;
+    std::uint64_t probe = 0;
+  };
+  void OnReadable() override;
+  void OnWritable() override {}
+  void Take(const peer_message& message, const socket_address& from);
+  void TakeUpdates(const std::vector<gossip_entry>& updates);
+  void Advance();
+  void Send(const std::string& address, const peer_message& message);
+  std::string AddressOf(const std::string& name) const;
+  std::string NameAt(const std::string& address) const;
+  void Changed();
+
+  event_loop& loop_;
+  log_writer& log_;
+  socket_handle socket_;
+  io_watch watch_;
+  const member self_;
+  member_tracker tracker_;
+  /** Registered hosts by name, whether they were heard or not. */
+  std::map<std::string, member> listed_;
+  std::map<std::string, member_state> logged_;
+  std::map<std::uint64_t, timer_service::timer_id> timeouts_;
+  std::map<std::uint64_t, relayed_probe> relayed_;
+  std::function<void()> on_change_;
+  std::uint64_t next_relayed_;
+  std::uint64_t seen_changes_ = 0;
+  instant started_;
+  timer_service::timer_id tick_ = 0;
+  bool is_leaving_ = false;
+};
+
+}  // namespace limpetlever
+
+#endif  // LIMPETLEVER_NODE_PEER_SERVICE_H_
--- /dev/null
+++ b/src/limpetlever/node/query_service.cc
@@ -0,0 +1,268 @@
+#include "node/query_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/route_table.h"
+#include "net/event_loop.h"
+#include "node/log_writer.h"
+#include "node/node_metrics.h"
+#include "node/replica_pools.h"
+#include "platform/request_codec.h"
+#include "query/query_outcome.h"
+#include "replicas/replica_record.h"
+#include "replicas/replica_registry.h"
+
+namespace limpetlever {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// A refused caller comes back after this time, spread over as much again.
+constexpr duration kRetryAfter = std::chrono::milliseconds(150);
+// What a server is given less than the caller waits, so that its answer still arrives in time.
+constexpr duration kDeadlineMargin = std::chrono::milliseconds(5);
+// An attempt that lost a race may end by itself for so long, which keeps its connection.
+constexpr duration kAbandonedTime = std::chrono::milliseconds(300);
+
+}  // namespace
+
+query_service::query_service(event_loop& loop,
+                             replica_registry& replicas,
+                             replica_pools& pools,
+                             log_writer& log,
+                             node_metrics& metrics,
+                             std::uint64_t seed)
+    : loop_(loop),
+      pools_(pools),
+      log_(log),
+      metrics_(metrics),
+      state_{.replicas = replicas, .random = random_source(seed)} {}
+
+duration query_service::RetryAfter() {
+  return kRetryAfter + duration(static_cast<std::int64_t>(
+                           state_.random.Below(static_cast<std::uint64_t>(kRetryAfter.count()))));
+}
+
+void query_service::Refuse(const std::shared_ptr<server_connection>& caller,
+                           int status,
+                           const char* reason,
+                           const std::string& request_id) {
+  const auto retry_after =
+      status == kUnavailable ? std::optional<duration>(RetryAfter()) : std::nullopt;
+  log_.Record(event_number::request_refused, {{"id", request_id},
+                                              {"status", status},
+                                              {"reason", reason},
+                                              {"version", table_ ? table_->version() : 0}});
+  const auto answer = platform::WriteRefusal(status, retry_after);
+  metrics_.OnAnswered(status, 0, duration::zero(), 0);
+  caller->Answer(answer.head, answer.body);
+}
+
+void query_service::Handle(const std::shared_ptr<server_connection>& caller) {
+  http_message& request = caller->request();
+  auto terms = platform::ReadCallerTerms(request);
+  if (!table_) {
+    Refuse(caller, kUnavailable, "no_config", terms.request_id);
+    return;
+  }
+  const route* path = table_->Find(request.Find("Host"), request.target);
+  if (path == nullptr) {
+    Refuse(caller, kNotFound, "no_route", terms.request_id);
+    return;
+  }
+  if (terms.request_id.empty()) {
+    Refuse(caller, kBadRequest, "no_request_id", terms.request_id);
+    return;
+  }
+  const instant now = loop_.Now();
+  const duration wait = std::min(terms.time_left.value_or(path->timeout), path->timeout);
+  auto query = std::make_shared<running_query>(
+      running_query{.caller = caller,
+                    .request_id = std::move(terms.request_id),
+                    .writer = platform::replica_request_writer(request),
+                    .plan = query_plan(table_, *path, state_, now, now + wait),
+                    .started = now});
+  ++running_;
+  caller->OnCallerLeft([this, weak = std::weak_ptr(query)] {
+    if (const auto left = weak.lock()) {
+      OnCallerLeft(left);
+    }
+  });
+  query_plan::action_list actions;
+  query->plan.Start(now, actions);
+  Execute(query, actions);
+}
+
+void query_service::Execute(const query_ptr& query, query_plan::action_list& actions) {
+  for (const query_action& action : actions) {
+    switch (action.kind) {
+      case query_action::kind_type::send:
+        SendAttempt(query, action);
+        break;
+      case query_action::kind_type::abandon:
+        break;
+      case query_action::kind_type::finish:
+        Answer(query);
+        break;
+    }
+  }
+  SetTimer(query);
+}
+
+void query_service::SendAttempt(const query_ptr& query, const query_action& action) {
+  const instant now = loop_.Now();
+  const duration left = query->plan.deadline() - now - kDeadlineMargin;
+  auto attempt = std::make_shared<replica_attempt>();
+  attempt->target = action.target;
+  attempt->request = query->writer.Write(action.target->stated, left);
+  attempt->is_head = query->writer.IsHead();
+  attempt->priority = query->plan.path().priority;
+  attempt->deadline = query->plan.deadline();
+  attempt->on_response = [this, query, number = action.attempt](http_message& response) {
+    return OnResponse(query, number, response);
+  };
+  attempt->on_failure = [this, query, number = action.attempt](attempt_failure failure) {
+    OnFailure(query, number, failure);
+  };
+  query->attempts.resize(std::max<std::size_t>(query->attempts.size(), action.attempt + 1));
+  query->attempts[action.attempt] = attempt;
+  metrics_.OnAttempt(action.reason);
+  if (action.reason != send_reason::first) {
+    log_.Record(event_number::attempt_repeated, {{"id", query->request_id},
+                                                 {"reason", ToString(action.reason)},
+                                                 {"replica", action.target->stated.id},
+                                                 {"service", action.target->stated.service},
+                                                 {"after_ms", now - query->started}});
+  }
+  pools_.Send(std::move(attempt));
+}
+
+bool query_service::OnResponse(const query_ptr& query,
+                               std::uint32_t attempt,
+                               http_message& response) {
+  const auto& target = query->attempts[attempt]->target;
+  if (!platform::IsAnswerTo(response, query->request_id)) {
+    log_.Record(event_number::foreign_answer_dropped,
+                {{"id", query->request_id}, {"replica", target->stated.id}});
+    return false;
+  }
+  auto reply = platform::ReadReply(response);
+  if (reply.status / 100 != 2) {
+    metrics_.OnAttemptFailed();
+    log_.Record(event_number::attempt_failed, {{"id", query->request_id},
+                                               {"replica", target->stated.id},
+                                               {"service", target->stated.service},
+                                               {"cause", reply.is_not_run ? "refused" : "failed"},
+                                               {"status", reply.status},
+                                               {"after_ms", loop_.Now() - query->started}});
+  }
+  query->attempts[attempt] = nullptr;
+  query_plan::action_list actions;
+  query->plan.OnReply(attempt, std::move(reply), loop_.Now(), actions);
+  Execute(query, actions);
+  return true;
+}
+
+void query_service::OnFailure(const query_ptr& query,
+                              std::uint32_t attempt,
+                              attempt_failure failure) {
+  const auto& target = query->attempts[attempt]->target;
+  metrics_.OnAttemptFailed();
+  log_.Record(event_number::attempt_failed, {{"id", query->request_id},
+                                             {"replica", target->stated.id},
+                                             {"service", target->stated.service},
+                                             {"cause", ToString(failure)},
+                                             {"status", 0},
+                                             {"after_ms", loop_.Now() - query->started}});
+  query->attempts[attempt] = nullptr;
+  query_plan::action_list actions;
+  query->plan.OnFailure(attempt, failure, loop_.Now(), actions);
+  Execute(query, actions);
+}
+
+void query_service::Answer(const query_ptr& query) {
+  query->is_answered = true;
+  query->give_up_at = loop_.Now();
+  --running_;
+  auto& outcome = query->plan.outcome();
+  if (outcome.HasAnswer()) {
+    query->give_up_at += kAbandonedTime;
+  }
+  const int missing = outcome.missing_parts;
+  const route& path = query->plan.path();
+  const auto answer = platform::WriteAnswer(path, outcome, RetryAfter());
+  const duration elapsed = loop_.Now() - query->started;
+  log_.Record(event_number::request_answered, {{"id", query->request_id},
+                                               {"route", path.name},
+                                               {"version", query->plan.config_version()},
+                                               {"status", answer.status},
+                                               {"state", ToString(outcome.result.state)},
+                                               {"cause", outcome.result.detail},
+                                               {"missing", missing},
+                                               {"attempts", query->plan.attempts()},
+                                               {"hedges", query->plan.hedges()},
+                                               {"retries", query->plan.retries()},
+                                               {"budget_empty", query->plan.refused_extras()},
+                                               {"elapsed_ms", elapsed}});
+  metrics_.OnAnswered(answer.status, path.priority, elapsed, missing);
+  metrics_.OnBudgetEmpty(query->plan.refused_extras());
+  query->caller->Answer(answer.head, answer.body);
+  query->caller.reset();
+}
+
+void query_service::OnCallerLeft(const query_ptr& query) {
+  if (std::exchange(query->is_answered, true)) {
+    return;
+  }
+  --running_;
+  metrics_.OnCallerLeft();
+  log_.Record(event_number::caller_left, {{"id", query->request_id},
+                                          {"route", query->plan.path().name},
+                                          {"elapsed_ms", loop_.Now() - query->started}});
+  query->caller.reset();
+  CancelAttempts(query);
+}
+
+void query_service::CancelAttempts(const query_ptr& query) {
+  for (std::uint32_t i = 0; i < query->attempts.size(); ++i) {
+    if (const auto attempt = std::exchange(query->attempts[i], nullptr)) {
+      query->plan.OnCancelled(i);
+      pools_.Cancel(attempt);
+    }
+  }
+  loop_.timers().Cancel(query->timer);
+}
+
+void query_service::SetTimer(const query_ptr& query) {
+  const bool has_attempts = std::any_of(query->attempts.begin(), query->attempts.end(),
+                                        [](const auto& attempt) { return attempt != nullptr; });
+  std::optional<instant> due;
+  if (!query->is_answered) {
+    due = query->plan.NextTimer();
+  } else if (has_attempts) {
+    due = query->give_up_at;
+  }
+  if (due && query->timer != 0 && query->timer_due == *due) {
+    return;
+  }
+  loop_.timers().Cancel(std::exchange(query->timer, 0));
+  if (!due) {
+    return;
+  }
+  query->timer_due = *due;
+  query->timer = loop_.timers().Subscribe(*due, [this, query](instant now) {
+    query->timer = 0;
+    if (query->is_answered) {
+      CancelAttempts(query);
+      return;
+    }
+    query_plan::action_list actions;
+    query->plan.OnTimer(now, actions);
+    Execute(query, actions);
+  });
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/node/replica_pool.cc
@@ -0,0 +1,188 @@
+#include "node/replica_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/event_loop.h"
+#include "node/node_metrics.h"
+#include "replicas/replica_record.h"
+
+namespace limpetlever {
+
+namespace {
+
+// Larger than any answer of a backend server that the users describe (18 KB).
+constexpr std::size_t kMaxBodyBytes = 1024 * 1024;
+// Bytes that a live server does not acknowledge for so long have gone nowhere.
+constexpr duration kUnacknowledgedLimit = std::chrono::milliseconds(1000);
+// A server accepts within one round trip and its handshake of 6 ms; what takes longer is dark.
+constexpr duration kConnectLimit = std::chrono::milliseconds(400);
+// Part of the server's idle time after which a connection is closed, since a request could cross
+// the server's close.
+constexpr double kIdleShare = 0.7;
+constexpr duration kDefaultIdleLimit = std::chrono::seconds(20);
+
+}  // namespace
+
+replica_pool::replica_pool(event_loop& loop,
+                           node_metrics& metrics,
+                           std::shared_ptr<replica_record> target)
+    : loop_(loop), metrics_(metrics), target_(std::move(target)) {}
+
+replica_pool::~replica_pool() = default;
+
+void replica_pool::Send(std::shared_ptr<replica_attempt> attempt) {
+  const auto place = std::find_if(waiting_.begin(), waiting_.end(), [&attempt](const auto& other) {
+    return other->priority > attempt->priority;
+  });
+  waiting_.insert(place, std::move(attempt));
+  Assign();
+}
+
+bool replica_pool::IsIdleTooLong(const http_client& client) const {
+  const duration limit =
+      client.idle_limit() > duration::zero()
+          ? std::chrono::duration_cast<duration>(client.idle_limit() * kIdleShare)
+          : kDefaultIdleLimit;
+  return loop_.Now() - client.last_used() > limit;
+}
+
+void replica_pool::Assign() {
+  while (!waiting_.empty()) {
+    // The connection that was used last is the least likely to be closed by the server.
+    auto best = connections_.end();
+    for (auto item = connections_.begin(); item != connections_.end(); ++item) {
+      const bool is_free = !item->attempt && item->client->IsConnected() &&
+                           item->client->IsReusable() && !IsIdleTooLong(*item->client);
+      if (is_free &&
+          (best == connections_.end() || best->client->last_used() < item->client->last_used())) {
+        best = item;
+      }
+    }
+    if (best == connections_.end()) {
+      break;
+    }
+    auto attempt = std::move(waiting_.front());
+    waiting_.pop_front();
+    StartOn(*best, std::move(attempt));
+  }
+  const auto opening = static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& item) { return !item.client->IsConnected(); }));
+  for (std::size_t i = opening; i < waiting_.size() && connections_.size() < most_connections_;
+       ++i) {
+    Open();
+  }
+}
+
+void replica_pool::StartOn(pooled_connection& item, std::shared_ptr<replica_attempt> attempt) {
+  attempt->connection = item.client.get();
+  item.attempt = std::move(attempt);
+  item.client->Send(item.attempt->request, item.attempt->is_head);
+}
+
+void replica_pool::Open() {
+  metrics_.OnConnectionOpened();
+  connections_.push_back(
+      {.client = std::make_unique<http_client>(loop_, target_->stated.address, kMaxBodyBytes,
+                                               kUnacknowledgedLimit, *this),
+       .attempt = nullptr,
+       .opened = loop_.Now()});
+}
+
+replica_pool::connection_list::iterator replica_pool::Find(const http_client& client) {
+  return std::find_if(connections_.begin(), connections_.end(),
+                      [&client](const auto& item) { return item.client.get() == &client; });
+}
+
+void replica_pool::Drop(connection_list::iterator item) {
+  // The connection may be on the stack; it is destroyed after the batch.
+  loop_.Defer([held = std::shared_ptr<http_client>(std::move(item->client))] {});
+  connections_.erase(item);
+}
+
+void replica_pool::OnConnected(http_client&) {
+  target_->load.OnReachable();
+  Assign();
+}
+
+bool replica_pool::OnResponse(http_client& client, http_message& response) {
+  const auto item = Find(client);
+  if (item == connections_.end() || !item->attempt) {
+    return true;
+  }
+  const auto attempt = item->attempt;
+  if (!attempt->on_response(response)) {
+    return false;
+  }
+  // The handler may have sent another attempt, so the list may have changed.
+  if (const auto again = Find(client); again != connections_.end()) {
+    again->attempt = nullptr;
+    if (!client.IsReusable()) {
+      Drop(again);
+    }
+  }
+  Assign();
+  return true;
+}
+
+void replica_pool::OnEnded(http_client& client, http_client::end_reason reason) {
+  const auto item = Find(client);
+  if (item == connections_.end()) {
+    return;
+  }
+  const auto attempt = std::exchange(item->attempt, nullptr);
+  Drop(item);
+  if (attempt) {
+    attempt->on_failure(reason == http_client::end_reason::malformed
+                            ? attempt_failure::malformed_answer
+                            : attempt_failure::connection_lost);
+  }
+  if (reason == http_client::end_reason::not_connected) {
+    FailWaiting(connections_.size());
+  }
+  Assign();
+}
+
+void replica_pool::FailWaiting(std::size_t keep) {
+  while (waiting_.size() > keep) {
+    const auto attempt = std::move(waiting_.back());
+    waiting_.pop_back();
+    attempt->on_failure(attempt_failure::not_connected);
+  }
+}
+
+void replica_pool::Cancel(const std::shared_ptr<replica_attempt>& attempt) {
+  if (const auto place = std::find(waiting_.begin(), waiting_.end(), attempt);
+      place != waiting_.end()) {
+    waiting_.erase(place);
+    return;
+  }
+  const auto item = std::find_if(connections_.begin(), connections_.end(),
+                                 [&attempt](const auto& held) { return held.attempt == attempt; });
+  if (item != connections_.end()) {
+    Drop(item);
+    Assign();
+  }
+}
+
+void replica_pool::Sweep() {
+  const instant now = loop_.Now();
+  std::size_t dark = 0;
+  for (std::size_t i = connections_.size(); i > 0; --i) {
+    const auto item = connections_.begin() + static_cast<std::ptrdiff_t>(i - 1);
+    const bool is_dark = !item->client->IsConnected() && now - item->opened > kConnectLimit;
+    const bool is_idle = item->client->IsConnected() && !item->attempt &&
+                         (IsIdleTooLong(*item->client) || !target_->is_usable);
+    dark += is_dark ? 1 : 0;
+    if (is_dark || is_idle) {
+      Drop(item);
+    }
+  }
+  if (dark > 0) {
+    FailWaiting(connections_.size());
+  }
+  Assign();
+}
+
+}  // namespace limpetlever
--- /dev/null
+++ b/src/limpetlever/node/replica_pools.cc
@@ -0,0 +1,78 @@
+#include "node/replica_pools.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/route_table.h"
+#include "net/event_loop.h"
+#include "node/replica_pool.h"
+#include "replicas/replica_record.h"
+
+namespace limpetlever {
+
+namespace {
+
+constexpr duration kSweepPeriod = std::chrono::milliseconds(100);
+// The rest is for hosts that restart and open connections before their old ones are gone.
+constexpr double kUsedShare = 0.9;
+constexpr int kDefaultMaxConnections = 16;
+
+}  // namespace
+
+replica_pools::replica_pools(event_loop& loop, node_metrics& metrics)
+    : loop_(loop), metrics_(metrics) {
+  sweep_ = loop_.timers().SubscribeEvery(loop_.Now() + kSweepPeriod, kSweepPeriod,
+                                         [this](instant) { Sweep(); });
+}
+
+replica_pools::~replica_pools() {
+  loop_.timers().Cancel(sweep_);
+}
+
+std::size_t replica_pools::MostConnections(const std::string& service) const {
+  const auto found = max_connections_.find(service);
+  const int limit = found == max_connections_.end() || found->second <= 0 ? kDefaultMaxConnections
+                                                                          : found->second;
+  const auto share = static_cast<int>(limit * kUsedShare / std::max(1, hosts_));
+  return static_cast<std::size_t>(std::max(1, share));
+}
+
+void replica_pools::UseLimits(const route_table& table, int hosts) {
+  hosts_ = hosts;
+  for (const service_settings& service : table.services()) {
+    max_connections_[service.name] = service.max_connections;
+  }
+  for (const auto& [key, pool] : pools_) {
+    pool->SetMostConnections(MostConnections(pool->target().stated.service));
+  }
+}
+
+void replica_pools::Send(std::shared_ptr<replica_attempt> attempt) {
+  auto& pool = pools_[attempt->target.get()];
+  if (!pool) {
+    pool = std::make_unique<replica_pool>(loop_, metrics_, attempt->target);
+    pool->SetMostConnections(MostConnections(attempt->target->stated.service));
+  }
+  pool->Send(std::move(attempt));
+}
+
+void replica_pools::Cancel(const std::shared_ptr<replica_attempt>& attempt) {
+  if (const auto found = pools_.find(attempt->target.get()); found != pools_.end()) {
+    found->second->Cancel(attempt);
+  }
+}
+
+void replica_pools::Sweep() {
+  for (auto item = pools_.begin(); item != pools_.end();) {
+    item->second->Sweep();
+    if (item->second->IsEmpty()) {
+      // A connection of the pool may still be on the stack or wait for its destruction.
+      loop_.Defer([held = std::shared_ptr<replica_pool>(std::move(item->second))] {});
+      item = pools_.erase(item);
+    } else {
+      ++item;
+    }
+  }
+}
+
+}  // namespace limpetlever
