--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -24,7 +24,7 @@
 constexpr double kMediansAfterHedge = 2.0;
 // Time between an answer's decision and its arrival at the caller: the way there and back (1 ms
 // each), and the work of reading and writing on a host with a sixth of a core.
-constexpr duration kReplyTime = std::chrono::milliseconds(8);
+constexpr duration kReplyTime = std::chrono::milliseconds(15);
 // The most times one shard is asked, refusals by servers included.
 constexpr int kMostSends = 4;
 
