--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -271,7 +271,8 @@
   }
   const auto target =
       ChooseReplica(state_.replicas, shard.service, shard.tried, terms_, state_.random, now);
-  if (!target || target->load.IsAvoided(now)) {
+  // A second server that is slow or full as well would not answer in time either.
+  if (!target || now + ExpectedLatency(*target, terms_, now) > answer_by_) {
     return;
   }
   if (!BudgetOf(shard).Take()) {
