Query: shards that would be late are left out, as far as an answer may lack shards

Change: before the first send, shards whose best server is expected to miss the target are ranked with noise, and as many are left out as the answer may lack.

--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -25,6 +25,8 @@
 // Time between an answer's decision and its arrival at the caller: the way there and back (1 ms
 // each), and the work of reading and writing on a host with a sixth of a core.
 constexpr duration kReplyTime = std::chrono::milliseconds(15);
+// Spread of the order in which late shards are left out, so that queries leave out different ones.
+constexpr double kRankNoise = 1.0;
 // The most times one shard is asked, refusals by servers included.
 constexpr int kMostSends = 4;
 
@@ -109,14 +111,59 @@
     Fail(errc::no_replica, "too few shards have a usable backend server", now, actions);
     return;
   }
+  OmitLateShards(possible, now);
   for (std::size_t shard = 0; shard < shards_.size(); ++shard) {
-    if (!Send(shard, send_reason::first, now, actions)) {
+    if (!shards_[shard].is_lost && !Send(shard, send_reason::first, now, actions)) {
       MarkLost(shard);
     }
   }
   FinishIfPossible(now, actions);
 }
 
+duration query_plan::ExpectedLatencyOf(const shard_state& shard, instant now) const {
+  duration least = duration::max();
+  for (const auto& record : state_.replicas.OfService(shard.service)) {
+    if (record->is_usable) {
+      least = std::min(least, ExpectedLatency(*record, terms_, now));
+    }
+  }
+  return least;
+}
+
+void query_plan::OmitLateShards(int possible, instant now) {
+  // All queries together overload a slow shard, and then it is late for each of them. When every
+  // query leaves out as many late shards as its answer may lack, and not the same ones, those that
+  // are asked can answer in time.
+  int allowance = possible - NeededParts();
+  if (allowance <= 0) {
+    return;
+  }
+  struct late_shard {
+    double rank = 0.0;
+    std::size_t shard = 0;
+  };
+  std::vector<late_shard> late;
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    if (!HasUsableReplica(shards_[i])) {
+      continue;
+    }
+    const duration expected = ExpectedLatencyOf(shards_[i], now);
+    if (now + expected > answer_by_) {
+      const double noise = 1.0 - kRankNoise / 2 + kRankNoise * state_.random.Unit();
+      late.push_back({.rank = static_cast<double>(expected.count()) * noise, .shard = i});
+    }
+  }
+  std::sort(late.begin(), late.end(),
+            [](const late_shard& a, const late_shard& b) { return a.rank > b.rank; });
+  for (const late_shard& item : late) {
+    if (allowance-- == 0) {
+      break;
+    }
+    MarkLost(item.shard);
+    ++omitted_;
+  }
+}
+
 std::shared_ptr<replica_record> query_plan::ChooseTarget(const shard_state& shard, instant now) {
   if (static_cast<int>(shard.tried.size()) < path_.max_attempts) {
     if (auto fresh = ChooseReplica(state_.replicas, shard.service, shard.tried, terms_,
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -64,6 +64,8 @@
   int retries() const { return retries_; }
   /** Extra attempts that the budget did not allow. */
   int refused_extras() const { return refused_extras_; }
+  /** Shards that were not asked, since they were expected to be late. */
+  int omitted() const { return omitted_; }
 
  private:
   struct attempt_state {
@@ -87,6 +89,10 @@
 
   void ChooseServices();
   bool HasUsableReplica(const shard_state& shard) const;
+  /** Gives up shards that are expected to be late, as far as an answer may lack shards. */
+  void OmitLateShards(int possible, instant now);
+  /** How long the best server of a shard is expected to take. */
+  duration ExpectedLatencyOf(const shard_state& shard, instant now) const;
   bool Send(std::size_t shard, send_reason reason, instant now, action_list& actions);
   std::shared_ptr<replica_record> ChooseTarget(const shard_state& shard, instant now);
   void Retry(std::size_t shard, bool has_arrived, instant now, action_list& actions);
@@ -120,6 +126,7 @@
   int hedges_ = 0;
   int retries_ = 0;
   int refused_extras_ = 0;
+  int omitted_ = 0;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -205,7 +205,8 @@
                                                {"attempts", query->plan.attempts()},
                                                {"hedges", query->plan.hedges()},
                                                {"retries", query->plan.retries()},
-                                               {"budget_empty", query->plan.refused_extras()},
+                                               {"omitted", query->plan.omitted()},
+               {"budget_empty", query->plan.refused_extras()},
                                                {"elapsed_ms", elapsed}});
   metrics_.OnAnswered(answer.status, path.priority, elapsed, missing);
   metrics_.OnBudgetEmpty(query->plan.refused_extras());
