Node: unreachable servers are probed without a request; attempts given up count as latency

Change: a server that cannot be reached is left out until a connection of its pool opens (tried every 0.25 to 2 s); an attempt that is given up counts with its age as a lower bound of the latency; 250 ms to connect, not 400.

--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -266,9 +266,6 @@
   item.is_open = false;
   --shards_[item.shard].open_attempts;
   item.target->load.OnFailed(item.sent, now);
-  if (failure == attempt_failure::not_connected) {
-    item.target->load.OnUnreachable(now);
-  }
   const bool may_have_run = MayHaveRun(failure);
   may_have_run_ = may_have_run_ || may_have_run;
   if (is_done_ || shards_[item.shard].is_answered) {
@@ -282,12 +279,12 @@
   FinishIfPossible(now, actions);
 }
 
-void query_plan::OnCancelled(std::uint32_t attempt) {
+void query_plan::OnCancelled(std::uint32_t attempt, instant now) {
   attempt_state& item = attempts_[attempt];
   if (item.is_open) {
     item.is_open = false;
     --shards_[item.shard].open_attempts;
-    item.target->load.OnCancelled(item.sent);
+    item.target->load.OnCancelled(item.sent, now, terms_.usual);
   }
 }
 
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -46,8 +46,8 @@
   /** An attempt was answered in whole. */
   void OnReply(std::uint32_t attempt, replica_reply reply, instant now, action_list& actions);
   void OnFailure(std::uint32_t attempt, attempt_failure failure, instant now, action_list& actions);
-  /** This host gave the attempt up; it says nothing of the server. */
-  void OnCancelled(std::uint32_t attempt);
+  /** This host gave the attempt up. */
+  void OnCancelled(std::uint32_t attempt, instant now);
   /** To be called at NextTimer(). */
   void OnTimer(instant now, action_list& actions);
   /** nullopt once the query has ended. */
--- a/src/liblimpetlever/query/replica_choice.cc
+++ b/src/liblimpetlever/query/replica_choice.cc
@@ -13,7 +13,7 @@
 // Round trip to another data centre of the region, about 2 ms, and the price of its bytes.
 constexpr duration kFarPenalty = std::chrono::milliseconds(3);
 // A server that cannot be reached is used only if there is no other.
-constexpr duration kAvoidedPenalty = std::chrono::seconds(5);
+constexpr duration kUnreachablePenalty = std::chrono::seconds(5);
 // A stalled server answers after its pause; a tenth of a second is a usual pause.
 constexpr duration kStalledPenalty = std::chrono::milliseconds(100);
 constexpr double kColdFactor = 2.0;
@@ -42,8 +42,8 @@
   if (!record.is_near) {
     total += kFarPenalty;
   }
-  if (load.IsAvoided(now)) {
-    total += kAvoidedPenalty;
+  if (load.IsUnreachable()) {
+    total += kUnreachablePenalty;
   }
   return total;
 }
--- a/src/liblimpetlever/replicas/replica_load.cc
+++ b/src/liblimpetlever/replicas/replica_load.cc
@@ -39,14 +39,7 @@
 void replica_load::OnAnswered(instant sent, instant now, duration usual) {
   Forget(sent);
   OnReachable();
-  if (usual > duration::zero()) {
-    const double ratio = std::min(kMostRatio, std::chrono::duration<double>(now - sent) / usual);
-    // A lone straggler, such as a short pause of the server, does not make it a slow server.
-    const double robust = std::min(ratio, last_ratio_);
-    slowness_ = Slowness(now) * (1.0 - kSampleWeight) + robust * kSampleWeight;
-    slowness_at_ = now;
-    last_ratio_ = ratio;
-  }
+  TakeLatency(now - sent, now, usual);
   failure_share_ = FailureShare(now) * (1.0 - kSampleWeight);
   failure_at_ = now;
 }
@@ -57,8 +50,23 @@
   failure_at_ = now;
 }
 
-void replica_load::OnCancelled(instant sent) {
+void replica_load::OnCancelled(instant sent, instant now, duration usual) {
   Forget(sent);
+  if (now - sent > usual) {
+    TakeLatency(now - sent, now, usual);
+  }
+}
+
+void replica_load::TakeLatency(duration latency, instant now, duration usual) {
+  if (usual <= duration::zero()) {
+    return;
+  }
+  const double ratio = std::min(kMostRatio, std::chrono::duration<double>(latency) / usual);
+  // A lone straggler, such as a short pause of the server, does not make it a slow server.
+  const double robust = std::min(ratio, last_ratio_);
+  slowness_ = Slowness(now) * (1.0 - kSampleWeight) + robust * kSampleWeight;
+  slowness_at_ = now;
+  last_ratio_ = ratio;
 }
 
 void replica_load::OnReport(const reported_load& report, instant now) {
@@ -69,7 +77,7 @@
 void replica_load::OnUnreachable(instant now) {
   const int doublings = std::min(unreachable_count_, kMostDoublings);
   ++unreachable_count_;
-  avoided_until_ = now + kFirstPause * (1 << doublings);
+  next_try_ = now + kFirstPause * (1 << doublings);
 }
 
 double replica_load::Slowness(instant now) const {
--- a/src/liblimpetlever/replicas/replica_load.h
+++ b/src/liblimpetlever/replicas/replica_load.h
@@ -21,11 +21,11 @@
   void OnAnswered(instant sent, instant now, duration usual);
   /** An attempt ended without an answer that counts, or was refused by the server. */
   void OnFailed(instant sent, instant now);
-  /** An attempt was given up by this host; says nothing of the server. */
-  void OnCancelled(instant sent);
+  /** An attempt was given up by this host. Its age is a lower bound of the server's latency. */
+  void OnCancelled(instant sent, instant now, duration usual);
   /** The server stated its load in an answer. */
   void OnReport(const reported_load& report, instant now);
-  /** No connection could be opened or kept. Nothing is sent until a growing pause has passed. */
+  /** No connection could be opened; holds until one is opened. */
   void OnUnreachable(instant now);
   void OnReachable() { unreachable_count_ = 0; }
 
@@ -36,12 +36,15 @@
   double FailureShare(instant now) const;
   /** Whether the oldest attempt in flight has lasted longer than `limit`. */
   bool IsStalled(instant now, duration limit) const;
-  bool IsAvoided(instant now) const { return now < avoided_until_; }
+  bool IsUnreachable() const { return unreachable_count_ > 0; }
+  /** Whether the pause since the last failed try is over; the pauses grow. */
+  bool IsTryDue(instant now) const { return now >= next_try_; }
   /** Requests of other hosts that the server last reported; 0 once the report is old. */
   int ReportedByOthers(instant now) const;
 
  private:
   void Forget(instant sent);
+  void TakeLatency(duration latency, instant now, duration usual);
 
   std::multiset<instant> sent_;
   double slowness_ = 1.0;
@@ -50,7 +53,7 @@
   double failure_share_ = 0.0;
   instant failure_at_;
   int unreachable_count_ = 0;
-  instant avoided_until_;
+  instant next_try_;
   int reported_others_ = 0;
   std::optional<instant> reported_at_;
 };
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -230,7 +230,7 @@
 void query_service::CancelAttempts(const query_ptr& query) {
   for (std::uint32_t i = 0; i < query->attempts.size(); ++i) {
     if (const auto attempt = std::exchange(query->attempts[i], nullptr)) {
-      query->plan.OnCancelled(i);
+      query->plan.OnCancelled(i, loop_.Now());
       pools_.Cancel(attempt);
     }
   }
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -16,7 +16,7 @@
 // Bytes that a live server does not acknowledge for so long have gone nowhere.
 constexpr duration kUnacknowledgedLimit = std::chrono::milliseconds(1000);
 // A server accepts within one round trip and its handshake of 6 ms; what takes longer is dark.
-constexpr duration kConnectLimit = std::chrono::milliseconds(400);
+constexpr duration kConnectLimit = std::chrono::milliseconds(250);
 // Part of the server's idle time after which a connection is closed, since a request could cross
 // the server's close.
 constexpr double kIdleShare = 0.7;
@@ -139,11 +139,20 @@
                             : attempt_failure::connection_lost);
   }
   if (reason == http_client::end_reason::not_connected) {
+    target_->load.OnUnreachable(loop_.Now());
     FailWaiting(connections_.size());
   }
   Assign();
 }
 
+void replica_pool::ProbeIfUnreachable() {
+  // A connection without a request tells when the server is back, so that no caller has to find out.
+  const bool is_wanted = target_->is_usable && target_->load.IsUnreachable();
+  if (is_wanted && connections_.empty() && target_->load.IsTryDue(loop_.Now())) {
+    Open();
+  }
+}
+
 void replica_pool::FailWaiting(std::size_t keep) {
   while (waiting_.size() > keep) {
     const auto attempt = std::move(waiting_.back());
@@ -166,6 +175,11 @@
   }
 }
 
+bool replica_pool::IsEmpty() const {
+  const bool is_probed = target_->is_usable && target_->load.IsUnreachable();
+  return connections_.empty() && waiting_.empty() && !is_probed;
+}
+
 void replica_pool::Sweep() {
   const instant now = loop_.Now();
   std::size_t dark = 0;
@@ -180,8 +194,10 @@
     }
   }
   if (dark > 0) {
+    target_->load.OnUnreachable(now);
     FailWaiting(connections_.size());
   }
+  ProbeIfUnreachable();
   Assign();
 }
 
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -28,7 +28,8 @@
   void Cancel(const std::shared_ptr<replica_attempt>& attempt);
   /** Gives up what is overdue and closes connections that the server is about to close. */
   void Sweep();
-  bool IsEmpty() const { return connections_.empty() && waiting_.empty(); }
+  /** Whether there is nothing to do for the server any more. */
+  bool IsEmpty() const;
   const replica_record& target() const { return *target_; }
 
  private:
@@ -45,6 +46,7 @@
   bool IsIdleTooLong(const http_client& client) const;
   connection_list::iterator Find(const http_client& client);
   void Drop(connection_list::iterator item);
+  void ProbeIfUnreachable();
   void FailWaiting(std::size_t keep);
   void OnConnected(http_client& client) override;
   bool OnResponse(http_client& client, http_message& response) override;
