--- a/src/liblimpetlever/membership/host_choice.h
+++ b/src/liblimpetlever/membership/host_choice.h
@@ -13,8 +13,9 @@
 inline constexpr std::size_t kMostAdvisedHosts = 64;
 
 /**
- * The hosts that a caller in `data_centre` should use, at most kMostAdvisedHosts. Hosts that are
- * leaving, dead or suspected are left out; if that leaves none, suspected ones are named.
+ * The hosts that a caller in `data_centre` should use, at most kMostAdvisedHosts: those of its own
+ * data centre if they can bear its callers, else all. Hosts that are leaving, dead or suspected are
+ * left out; if that leaves none, suspected ones are named.
  */
 std::vector<member> ChooseHosts(const std::vector<member>& members, const std::string& data_centre);
 
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -27,6 +27,10 @@
 constexpr duration kReplyTime = std::chrono::milliseconds(15);
 // Spread of the order in which late shards are left out, so that queries leave out different ones.
 constexpr double kRankNoise = 1.0;
+// Part of the target that a near server may be slower than a far one.
+constexpr double kFarPenaltyShare = 0.15;
+// Round trip to another data centre of the region, about 2 ms, and some margin.
+constexpr duration kLeastFarPenalty = std::chrono::milliseconds(3);
 // The most times one shard is asked, refusals by servers included.
 constexpr int kMostSends = 4;
 
@@ -54,6 +58,9 @@
   const auto wanted = std::chrono::duration_cast<duration>(terms_.usual * kHedgeMedians);
   const auto latest = std::chrono::duration_cast<duration>(path_.target_latency - kReplyTime -
                                                            terms_.usual * kMediansAfterHedge);
+  terms_.far_penalty =
+      std::max(kLeastFarPenalty,
+               std::chrono::duration_cast<duration>(path_.target_latency * kFarPenaltyShare));
   terms_.stall_limit = std::max(kLeastHedgeDelay, std::min(wanted, latest));
 }
 
@@ -204,6 +211,7 @@
   const auto attempt = static_cast<std::uint32_t>(attempts_.size());
   attempts_.push_back({.shard = shard_index, .target = target, .sent = now});
   target->load.OnSent(now);
+  far_attempts_ += target->is_near ? 0 : 1;
   actions.push_back({.kind = query_action::kind_type::send,
                      .attempt = attempt,
                      .reason = reason,
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -62,6 +62,8 @@
   int attempts() const { return static_cast<int>(attempts_.size()); }
   int hedges() const { return hedges_; }
   int retries() const { return retries_; }
+  /** Attempts at servers of other data centres. */
+  int far_attempts() const { return far_attempts_; }
   /** Extra attempts that the budget did not allow. */
   int refused_extras() const { return refused_extras_; }
   /** Shards that were not asked, since they were expected to be late. */
@@ -124,6 +126,7 @@
   int answered_ = 0;
   int lost_ = 0;
   int hedges_ = 0;
+  int far_attempts_ = 0;
   int retries_ = 0;
   int refused_extras_ = 0;
   int omitted_ = 0;
--- a/src/liblimpetlever/query/replica_choice.cc
+++ b/src/liblimpetlever/query/replica_choice.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Round trip to another data centre of the region, about 2 ms, and the price of its bytes.
-constexpr duration kFarPenalty = std::chrono::milliseconds(3);
 // A server that cannot be reached is used only if there is no other.
 constexpr duration kUnreachablePenalty = std::chrono::seconds(5);
 // A stalled server answers after its pause; a tenth of a second is a usual pause.
@@ -40,7 +38,7 @@
     total += kStalledPenalty;
   }
   if (!record.is_near) {
-    total += kFarPenalty;
+    total += terms.far_penalty;
   }
   if (load.IsUnreachable()) {
     total += kUnreachablePenalty;
--- a/src/liblimpetlever/query/replica_choice.h
+++ b/src/liblimpetlever/query/replica_choice.h
@@ -19,6 +19,8 @@
   duration usual{};
   /** An attempt in flight for longer than this is a sign that its server has stopped. */
   duration stall_limit{};
+  /** What a near server may be slower before a far one is used: bytes between data centres cost. */
+  duration far_penalty{};
 };
 
 /** How long an attempt at `record` is expected to take, with what speaks against it added. */
