--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -128,10 +128,13 @@
 }
 
 duration query_plan::ExpectedLatencyOf(const shard_state& shard, instant now) const {
+  // A server that stands still for a moment answers what it was sent when it goes on.
+  choice_terms terms = terms_;
+  terms.stall_limit = duration::max();
   duration least = duration::max();
   for (const auto& record : state_.replicas.OfService(shard.service)) {
     if (record->is_usable) {
-      least = std::min(least, ExpectedLatency(*record, terms_, now));
+      least = std::min(least, ExpectedLatency(*record, terms, now));
     }
   }
   return least;
