--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -304,7 +304,7 @@
   shard_state& shard = shards_[shard_index];
   if (shard.sends < kMostSends && now < deadline_) {
     // A request that never reached a server costs the servers nothing when it is sent again.
-    const bool is_allowed = !has_arrived || BudgetOf(shard).Take();
+    const bool is_allowed = !has_arrived || BudgetOf(shard).TakeRetry();
     if (is_allowed && Send(shard_index, send_reason::retry, now, actions)) {
       ++retries_;
       return;
@@ -328,7 +328,7 @@
   if (!target || now + ExpectedLatency(*target, terms_, now) > answer_by_) {
     return;
   }
-  if (!BudgetOf(shard).Take()) {
+  if (!BudgetOf(shard).TakeHedge(state_.terms)) {
     ++refused_extras_;
     return;
   }
--- a/src/liblimpetlever/query/retry_budget.cc
+++ b/src/liblimpetlever/query/retry_budget.cc
@@ -10,6 +10,8 @@
 // that was stopped, and hosts that restart and begin with a full burst again.
 constexpr double kUsedRatio = 0.9;
 constexpr double kUsedSlack = 0.6;
+// Part of what may be saved that hedges leave to retries.
+constexpr double kKeptForRetries = 0.5;
 
 }  // namespace
 
@@ -25,7 +27,11 @@
   tokens_ = std::min(std::max(terms.burst, 1.0), tokens_ + terms.per_request);
 }
 
-bool retry_budget::Take() {
+bool retry_budget::TakeHedge(const retry_terms& terms) {
+  return tokens_ >= terms.burst * kKeptForRetries && TakeRetry();
+}
+
+bool retry_budget::TakeRetry() {
   if (tokens_ < 1.0) {
     return false;
   }
--- a/src/liblimpetlever/query/retry_budget.h
+++ b/src/liblimpetlever/query/retry_budget.h
@@ -13,8 +13,13 @@
 class retry_budget {
  public:
   void OnRequest(const retry_terms& terms);
-  /** Takes one extra attempt; false, and nothing is taken, when none is left. */
-  bool Take();
+  /** Takes one retry; false, and nothing is taken, when none is left. */
+  bool TakeRetry();
+  /**
+   * Takes one hedge, from the upper part of what may be saved: a shard that has failed is lost
+   * without its retry, one that straggles may still answer.
+   */
+  bool TakeHedge(const retry_terms& terms);
   double tokens() const { return tokens_; }
 
  private:
--- a/tests/query/test_retry_budget.cc
+++ b/tests/query/test_retry_budget.cc
@@ -31,7 +31,7 @@
             ++arrived;
           }
           // Saves for a while and then takes everything at once.
-          while (step % 170 > 150 && budget.Take()) {
+          while (step % 170 > 150 && budget.TakeRetry()) {
             ++taken;
           }
         }
@@ -60,5 +60,21 @@
 // Guards against a budget that grants what was not earned.
 Test(retry_budget, nothing_is_granted_before_a_request) {
   retry_budget budget;
-  cr_assert(!budget.Take());
+  cr_assert(!budget.TakeRetry());
+}
+
+// Guards against hedges that leave nothing for the retries of failed attempts.
+Test(retry_budget, hedges_leave_a_part_to_retries) {
+  const retry_terms terms{.per_request = 0.1, .burst = 8.0};
+  retry_budget budget;
+  budget.OnRequest(terms);
+  int hedges = 0;
+  while (budget.TakeHedge(terms)) {
+    ++hedges;
+  }
+  int retries = 0;
+  while (budget.TakeRetry()) {
+    ++retries;
+  }
+  cr_assert(hedges >= 3 && retries >= 3, "%d hedges, %d retries", hedges, retries);
 }
