--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -295,3 +295,17 @@
     cr_assert(send.target->stated.service.starts_with("shard"));
   }
 }
+
+// Guards against leaving out a shard whose only server pauses for a moment, as each does now and
+// then; it answers when it goes on.
+Test(query_plan, a_pause_does_not_leave_out_a_shard) {
+  query_fixture fixture;
+  fixture.registry.Remove("b0");
+  fixture.registry.Find("a0")->load.OnSent(fixture.now);
+  fixture.Advance(90);
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  cr_assert(plan->omitted() == 0);
+  cr_assert(fixture.Sends(actions).size() == 20);
+}
