Node: large fleets use their strongest hosts; a host rejoins above a former life; end-to-end tests

A host whose clock had been ahead would stay unknown to the others for ten minutes after a restart. test_node showed a third fault: the read buffer was shared by all loops of a process, so that in 1 of 35 runs an answer of the store was lost (store_lost at start). Change: of a fleet larger than the connections allow (3 a host), the hosts with the most processor time are named, the same by every host; a host that hears of a greater incarnation of its name takes the next one; one read buffer a loop.

--- a/src/liblimpetlever/membership/host_choice.cc
+++ b/src/liblimpetlever/membership/host_choice.cc
@@ -5,10 +5,17 @@
 #include <set>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace limpetlever {
 
 namespace {
 
+// Connections to one backend server that a host should be able to hold: two requests under way,
+// and one more to repeat on when a server stands still.
+constexpr int kConnectionsPerHost = 3;
+// Enough for the loss of a data centre and some hosts, whatever the servers accept.
+constexpr int kLeastHostsInUse = 12;
 // One host alone would take all callers of its data centre with it.
 constexpr std::size_t kLeastNearHosts = 2;
 // Part of the mean number of hosts in a data centre that bears the callers of one.
@@ -29,23 +36,54 @@
   return found;
 }
 
-double MeanPerDataCentre(const std::vector<member>& members) {
+std::set<std::string> DataCentresOf(const std::vector<member>& members) {
   std::set<std::string> data_centres;
   for (const member& host : members) {
     data_centres.insert(host.data_centre);
   }
+  return data_centres;
+}
+
+/** In each data centre the hosts with the most processor time, `most` in all. */
+std::vector<member> StrongestOfEach(const std::vector<member>& members, std::size_t most) {
+  if (members.size() <= most) {
+    return members;
+  }
+  const auto data_centres = DataCentresOf(members);
+  const std::size_t of_each = (most + data_centres.size() - 1) / data_centres.size();
+  std::vector<member> strongest;
+  for (const std::string& data_centre : data_centres) {
+    std::vector<member> near = InDataCentre(members, data_centre);
+    std::sort(near.begin(), near.end(), [](const member& a, const member& b) {
+      return std::pair(-a.processor_share, Hash(a.name)) <
+             std::pair(-b.processor_share, Hash(b.name));
+    });
+    near.resize(std::min(near.size(), of_each));
+    strongest.insert(strongest.end(), near.begin(), near.end());
+  }
+  return strongest;
+}
+
+double MeanPerDataCentre(const std::vector<member>& members) {
   return static_cast<double>(members.size()) /
-         static_cast<double>(std::max<std::size_t>(1, data_centres.size()));
+         static_cast<double>(std::max<std::size_t>(1, DataCentresOf(members).size()));
 }
 
 }  // namespace
 
+std::size_t MostHostsInUse(int max_connections) {
+  return static_cast<std::size_t>(
+      std::max(kLeastHostsInUse, max_connections / kConnectionsPerHost));
+}
+
 std::vector<member> ChooseHosts(const std::vector<member>& members,
-                                const std::string& data_centre) {
+                                const std::string& data_centre,
+                                std::size_t most_in_use) {
   std::vector<member> chosen = InState(members, member_state::alive);
   if (chosen.empty()) {
     chosen = InState(members, member_state::suspect);
   }
+  chosen = StrongestOfEach(chosen, most_in_use);
   std::vector<member> near = InDataCentre(chosen, data_centre);
   if (near.size() >= kLeastNearHosts &&
       static_cast<double>(near.size()) >= kLeastPartOfMean * MeanPerDataCentre(chosen)) {
--- a/src/liblimpetlever/membership/host_choice.h
+++ b/src/liblimpetlever/membership/host_choice.h
@@ -15,9 +15,18 @@
 /**
  * The hosts that a caller in `data_centre` should use, at most kMostAdvisedHosts: those of its own
  * data centre if they can bear its callers, else all. Hosts that are leaving, dead or suspected are
- * left out; if that leaves none, suspected ones are named.
+ * left out; if that leaves none, suspected ones are named. Of a fleet that is larger than
+ * `most_in_use`, the hosts with the most processor time are named, the same by every host.
  */
-std::vector<member> ChooseHosts(const std::vector<member>& members, const std::string& data_centre);
+std::vector<member> ChooseHosts(const std::vector<member>& members,
+                                const std::string& data_centre,
+                                std::size_t most_in_use);
+
+/**
+ * How many hosts a fleet should use, so that each may hold some connections to a backend server
+ * that accepts `max_connections` from all of them.
+ */
+std::size_t MostHostsInUse(int max_connections);
 
 }  // namespace limpetlever
 
--- a/src/liblimpetlever/membership/member.h
+++ b/src/liblimpetlever/membership/member.h
@@ -19,6 +19,8 @@
   /** Start time of the process in microseconds since 1970; a restarted host has a greater one. */
   std::int64_t incarnation = 0;
   member_state state = member_state::alive;
+  /** Processor time that the host has, in thousandths of a core; 0 if it did not say. */
+  int processor_share = 0;
 
   bool operator==(const member&) const = default;
 };
--- a/src/liblimpetlever/membership/member_entry.cc
+++ b/src/liblimpetlever/membership/member_entry.cc
@@ -1,6 +1,7 @@
 #include "membership/member_entry.h"
 
 #include <array>
+#include <charconv>
 
 namespace limpetlever {
 
@@ -8,6 +9,9 @@
 
 constexpr char kPrefix[] = "member/";
 constexpr char kSeparator = '\n';
+// Older hosts do not state their processor share.
+constexpr std::size_t kLeastFields = 4;
+constexpr std::size_t kMostFields = 5;
 
 }  // namespace
 
@@ -16,14 +20,16 @@
           .incarnation = host.incarnation,
           .version = round * 4 + static_cast<std::int64_t>(host.state),
           .value = host.region + kSeparator + host.data_centre + kSeparator + host.http_address +
-                   kSeparator + host.peer_address};
+                   kSeparator + host.peer_address +
+                   (host.processor_share > 0 ? kSeparator + std::to_string(host.processor_share)
+                                             : std::string())};
 }
 
 std::optional<member> MemberFromEntry(const gossip_entry& entry) {
   if (!entry.key.starts_with(kPrefix) || entry.version < 0) {
     return std::nullopt;
   }
-  std::array<std::string, 4> fields;
+  std::array<std::string, kMostFields> fields;
   std::size_t at = 0;
   for (const char c : entry.value) {
     if (c != kSeparator) {
@@ -32,16 +38,19 @@
       return std::nullopt;
     }
   }
-  if (at + 1 != fields.size()) {
+  if (at + 1 < kLeastFields) {
     return std::nullopt;
   }
+  int processor_share = 0;
+  std::from_chars(fields[4].data(), fields[4].data() + fields[4].size(), processor_share);
   return member{.name = entry.key.substr(sizeof(kPrefix) - 1),
                 .region = fields[0],
                 .data_centre = fields[1],
                 .http_address = fields[2],
                 .peer_address = fields[3],
                 .incarnation = entry.incarnation,
-                .state = static_cast<member_state>(entry.version % 4)};
+                .state = static_cast<member_state>(entry.version % 4),
+                .processor_share = processor_share};
 }
 
 std::int64_t RoundOf(const gossip_entry& entry) {
--- a/src/limpetlever/net/event_loop.h
+++ b/src/limpetlever/net/event_loop.h
@@ -1,8 +1,11 @@
 #ifndef LIMPETLEVER_NET_EVENT_LOOP_H_
 #define LIMPETLEVER_NET_EVENT_LOOP_H_
 
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <vector>
 
 #include "base/time_types.h"
@@ -31,6 +34,8 @@
   instant UpdateNow();
   timer_service& timers() { return timers_; }
   event_base* base() { return base_; }
+  /** One buffer for all sockets of the loop, since it reads one of them at a time. */
+  std::span<char> read_buffer() { return read_buffer_; }
 
   /** Calls `call` on the loop when the process receives `signal`. */
   void OnSignal(int signal, std::function<void()> call);
@@ -38,6 +43,8 @@
   void Defer(std::function<void()> call) { deferred_.push_back(std::move(call)); }
 
  private:
+  // Larger than any answer of a shard; a longer message takes another read.
+  static constexpr std::size_t kReadBytes = 16 * 1024;
   struct signal_watch {
     event* handle = nullptr;
     std::function<void()> call;
@@ -49,6 +56,7 @@
   timer_service timers_;
   std::vector<std::unique_ptr<signal_watch>> signals_;
   std::vector<std::function<void()>> deferred_;
+  std::array<char, kReadBytes> read_buffer_;
   instant now_;
   bool is_running_ = false;
 };
--- a/src/limpetlever/net/server_connection.cc
+++ b/src/limpetlever/net/server_connection.cc
@@ -134,6 +134,15 @@
   Close();
 }
 
+void server_connection::Abort() {
+  const auto self = shared_from_this();
+  on_caller_left_ = nullptr;
+  if (is_open_) {
+    socket_.Reset();
+  }
+  Close();
+}
+
 void server_connection::Close() {
   if (!std::exchange(is_open_, false)) {
     return;
--- a/src/limpetlever/net/server_connection.h
+++ b/src/limpetlever/net/server_connection.h
@@ -29,6 +29,8 @@
    * status line and fields. Does nothing if the caller has left.
    */
   void Answer(std::string_view head, std::string_view body, bool is_last = false);
+  /** Ends the connection with a reset and without an answer. */
+  void Abort();
   /** Called once if the caller leaves before the answer. */
   void OnCallerLeft(std::function<void()> call) { on_caller_left_ = std::move(call); }
 
--- a/src/limpetlever/net/stream_socket.cc
+++ b/src/limpetlever/net/stream_socket.cc
@@ -2,7 +2,6 @@
 
 #include <sys/socket.h>
 
-#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -12,14 +11,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
-
-/** All connections share one buffer, since one thread reads one of them at a time. */
-std::array<char, kReadBytes>& ReadBuffer() {
-  static std::array<char, kReadBytes> buffer;
-  return buffer;
-}
-
 bool IsTemporary(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
@@ -30,7 +21,8 @@
                              socket_handle handle,
                              bool is_connecting,
                              handler& target)
-    : handle_(std::move(handle)),
+    : loop_(loop),
+      handle_(std::move(handle)),
       watch_(loop, handle_.fd(), *this),
       handler_(target),
       is_connecting_(is_connecting) {
@@ -56,7 +48,7 @@
 }
 
 void stream_socket::OnReadable() {
-  auto& buffer = ReadBuffer();
+  const auto buffer = loop_.read_buffer();
   const ssize_t size = recv(handle_.fd(), buffer.data(), buffer.size(), 0);
   if (size > 0) {
     handler_.OnBytes({buffer.data(), static_cast<std::size_t>(size)});
--- a/src/limpetlever/net/stream_socket.h
+++ b/src/limpetlever/net/stream_socket.h
@@ -48,6 +48,7 @@
   void OnReadable() override;
   void OnWritable() override;
 
+  event_loop& loop_;
   socket_handle handle_;
   io_watch watch_;
   handler& handler_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -53,7 +54,8 @@
           .data_centre = settings.data_centre,
           .http_address = ToText(settings.caller_address),
           .peer_address = ToText(settings.peer_address),
-          .incarnation = now.time_since_epoch().count()};
+          .incarnation = now.time_since_epoch().count(),
+          .processor_share = settings.processor_share};
 }
 
 }  // namespace
@@ -115,6 +117,7 @@
   }
   UseSettings(settings_);
   peers_.OnChange([this] { UseShares(); });
+  peers_.OnRejoin([this] { registration_.Replace(platform::EncodeHost(peers_.SelfEntry())); });
   loop_.OnSignal(SIGTERM, [this] { Leave(); });
   loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
   loop_.timers().SubscribeEvery(loop_.Now() + kRevisionCheck, kRevisionCheck,
@@ -153,10 +156,23 @@
   query_.UseRetryTerms(
       ShareOfFleet(settings_.retry_ratio, settings_.retry_slack, static_cast<int>(hosts)));
   if (query_.table()) {
-    pools_.UseLimits(*query_.table(), static_cast<int>(hosts));
+    const auto in_use = std::min<std::size_t>(static_cast<std::size_t>(hosts), MostHostsInUse());
+    pools_.UseLimits(*query_.table(), static_cast<int>(in_use));
   }
 }
 
+std::size_t node_server::MostHostsInUse() const {
+  int least = std::numeric_limits<int>::max();
+  if (query_.table()) {
+    for (const service_settings& service : query_.table()->services()) {
+      if (service.max_connections > 0) {
+        least = std::min(least, service.max_connections);
+      }
+    }
+  }
+  return limpetlever::MostHostsInUse(least);
+}
+
 void node_server::Reload(const char* cause) {
   const auto settings = ReadNodeSettings(settings_path_);
   if (!settings) {
@@ -214,7 +230,7 @@
     caller->Answer(head, {});
     return;
   }
-  const auto hosts = ChooseHosts(peers_.Members(), request->data_centre);
+  const auto hosts = ChooseHosts(peers_.Members(), request->data_centre, MostHostsInUse());
   if (hosts.empty()) {
     AppendStatusLine(head, kUnavailable);
     caller->Answer(head, {});
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -51,6 +51,8 @@
   void CheckRevision();
   void UseSettings(const node_settings& settings);
   void UseShares();
+  /** By the service that accepts the fewest connections. */
+  std::size_t MostHostsInUse() const;
   void Leave();
   void CheckDrained(instant leaving_since);
   bool IsReady() const { return query_.table() != nullptr && !is_leaving_; }
--- a/src/limpetlever/node/node_settings.cc
+++ b/src/limpetlever/node/node_settings.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kLeastDescriptors = 256;
+constexpr double kMostCores = 1024.0;
 constexpr int kMostDescriptors = 1'000'000;
 
 /** Reads the members of one object and keeps the first mistake. */
@@ -96,6 +97,9 @@
   settings.store_address = reader.Address("store_address");
   settings.max_descriptors = static_cast<int>(reader.Number(
       "max_descriptors", kLeastDescriptors, kMostDescriptors, settings.max_descriptors));
+  settings.processor_share =
+      static_cast<int>(1000.0 * reader.Number("processor_share", 0.001, kMostCores,
+                                              settings.processor_share / 1000.0));
   settings.grace_time = reader.Seconds("grace_s", settings.grace_time);
   settings.max_advice_lifetime =
       reader.Seconds("max_advice_lifetime_s", settings.max_advice_lifetime);
--- a/src/limpetlever/node/node_settings.h
+++ b/src/limpetlever/node/node_settings.h
@@ -27,6 +27,8 @@
   socket_address peer_address;
   socket_address metrics_address;
   socket_address store_address;
+  /** Processor time of this host, in thousandths of a core. */
+  int processor_share = 1000;
   /** File descriptors that the process may open. */
   int max_descriptors = 1024;
   /** Between SIGTERM and SIGKILL. */
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -26,7 +26,6 @@
 constexpr duration kTick = std::chrono::milliseconds(100);
 // Until then a registered host counts although it was not heard: this host has just started.
 constexpr duration kTrustListTime = std::chrono::milliseconds(2500);
-constexpr std::size_t kMaxDatagramBytes = 8 * 1024;
 // Numbers of relayed pings, apart from those that member_tracker chooses.
 constexpr std::uint64_t kFirstRelayed = std::uint64_t{1} << 40;
 constexpr std::size_t kMostRelayed = 256;
@@ -54,6 +53,7 @@
       socket_(std::move(socket)),
       watch_(loop, socket_.fd(), *this),
       self_(self),
+      seed_(seed),
       tracker_(std::move(self), seed, loop.Now()),
       next_relayed_(kFirstRelayed),
       started_(loop.Now()) {
@@ -75,6 +75,7 @@
 void peer_service::UseList(const std::vector<gossip_entry>& hosts) {
   std::map<std::string, member> listed;
   for (const gossip_entry& entry : hosts) {
+    RejoinIfOutdated(entry);
     if (auto host = MemberFromEntry(entry); host && host->name != self_.name) {
       listed.emplace(host->name, std::move(*host));
     }
@@ -138,7 +139,7 @@
 }
 
 void peer_service::OnReadable() {
-  static std::array<char, kMaxDatagramBytes> buffer;
+  const auto buffer = loop_.read_buffer();
   for (std::size_t i = 0; i < kMostReads; ++i) {
     sockaddr_in from{};
     socklen_t from_size = sizeof(from);
@@ -155,8 +156,35 @@
   Changed();
 }
 
+void peer_service::RejoinIfOutdated(const gossip_entry& entry) {
+  const auto host = MemberFromEntry(entry);
+  if (!host || host->name != self_.name || host->incarnation <= self_.incarnation) {
+    return;
+  }
+  self_.incarnation = host->incarnation + 1;
+  tracker_ = member_tracker(self_, ++seed_, loop_.Now());
+  seen_changes_ = 0;
+  for (const auto& [probe, timer] : timeouts_) {
+    loop_.timers().Cancel(timer);
+  }
+  timeouts_.clear();
+  std::vector<member> names;
+  for (const auto& [name, listed] : listed_) {
+    names.push_back(listed);
+  }
+  tracker_.TakeList(names);
+  if (is_leaving_) {
+    tracker_.Leave(loop_.Now());
+  }
+  started_ = loop_.Now();
+  if (on_rejoin_) {
+    on_rejoin_();
+  }
+}
+
 void peer_service::TakeUpdates(const std::vector<gossip_entry>& updates) {
   for (const gossip_entry& entry : updates) {
+    RejoinIfOutdated(entry);
     tracker_.TakeEntry(entry, loop_.Now());
   }
 }
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -36,6 +36,11 @@
   std::vector<member> Members() const;
   /** Called when Members() has changed. */
   void OnChange(std::function<void()> call) { on_change_ = std::move(call); }
+  /**
+   * Called when this host has taken a new incarnation: the others remember a former process of its
+   * name with a greater one, from a clock that was ahead.
+   */
+  void OnRejoin(std::function<void()> call) { on_rejoin_ = std::move(call); }
   void Leave();
   /** The store's revision that this host tells the others. */
   void SetRevision(std::int64_t revision);
@@ -53,6 +58,9 @@
   void OnWritable() override {}
   void Take(const peer_message& message, const socket_address& from);
   void TakeUpdates(const std::vector<gossip_entry>& updates);
+  /** Answers for a greater incarnation of this host's name, which only a former process can have.
+   */
+  void RejoinIfOutdated(const gossip_entry& entry);
   void Advance();
   void Send(const std::string& address, peer_message message);
   std::string AddressOf(const std::string& name) const;
@@ -63,7 +71,8 @@
   log_writer& log_;
   socket_handle socket_;
   io_watch watch_;
-  const member self_;
+  member self_;
+  std::uint64_t seed_;
   member_tracker tracker_;
   /** Registered hosts by name, whether they were heard or not. */
   std::map<std::string, member> listed_;
@@ -71,6 +80,7 @@
   std::map<std::uint64_t, timer_service::timer_id> timeouts_;
   std::map<std::uint64_t, relayed_probe> relayed_;
   std::function<void()> on_change_;
+  std::function<void()> on_rejoin_;
   std::uint64_t next_relayed_;
   std::uint64_t seen_changes_ = 0;
   instant started_;
--- a/tests/membership/test_host_choice.cc
+++ b/tests/membership/test_host_choice.cc
@@ -3,11 +3,14 @@
 #include <set>
 
 #include "membership/host_choice.h"
+#include "membership/member_entry.h"
 
 using namespace limpetlever;
 
 namespace {
 
+constexpr std::size_t kAll = 1000;
+
 std::vector<member> Hosts(const std::vector<int>& by_data_centre) {
   std::vector<member> hosts;
   for (std::size_t d = 0; d < by_data_centre.size(); ++d) {
@@ -31,15 +34,15 @@
 
 // Guards against callers that are sent far although hosts beside them can serve.
 Test(host_choice, near_hosts_first) {
-  const auto chosen = ChooseHosts(Hosts({4, 4, 2, 2}), "d2");
+  const auto chosen = ChooseHosts(Hosts({4, 4, 2, 2}), "d2", kAll);
   cr_assert(chosen.size() == 2 && DataCentres(chosen) == std::set<std::string>{"d2"});
 }
 
 // Guards against one or two hosts that take the callers of a whole data centre.
 Test(host_choice, few_near_hosts_are_not_overrun) {
-  cr_assert(ChooseHosts(Hosts({4, 4, 1}), "d2").size() == 9);
-  cr_assert(ChooseHosts(Hosts({20, 20, 2}), "d2").size() == 42);
-  cr_assert(ChooseHosts(Hosts({4, 4}), "elsewhere").size() == 8);
+  cr_assert(ChooseHosts(Hosts({4, 4, 1}), "d2", kAll).size() == 9);
+  cr_assert(ChooseHosts(Hosts({20, 20, 2}), "d2", kAll).size() == 42);
+  cr_assert(ChooseHosts(Hosts({4, 4}), "elsewhere", kAll).size() == 8);
 }
 
 // Guards against naming hosts that take no work, and against naming none while some may live.
@@ -48,17 +51,42 @@
   hosts[0].state = member_state::leaving;
   hosts[1].state = member_state::dead;
   hosts[2].state = member_state::suspect;
-  for (const member& host : ChooseHosts(hosts, "d0")) {
+  for (const member& host : ChooseHosts(hosts, "d0", kAll)) {
     cr_assert(host.data_centre == "d1");
   }
   for (std::size_t i = 3; i < 6; ++i) {
     hosts[i].state = member_state::dead;
   }
-  const auto last = ChooseHosts(hosts, "d0");
+  const auto last = ChooseHosts(hosts, "d0", kAll);
   cr_assert(last.size() == 1 && last[0].name == "d0h2");
 }
 
 // Guards against more addresses than a caller takes.
 Test(host_choice, at_most_64) {
-  cr_assert(ChooseHosts(Hosts({100, 100}), "d0").size() == kMostAdvisedHosts);
+  cr_assert(ChooseHosts(Hosts({100, 100}), "d0", kAll).size() == kMostAdvisedHosts);
+}
+
+// Guards against a large fleet in which each host has less than one connection to a server, and
+// against the weak hosts of a fleet doing the work of the strong.
+Test(host_choice, a_large_fleet_uses_its_strongest_hosts) {
+  auto hosts = Hosts({30, 30});
+  for (member& host : hosts) {
+    host.processor_share = 84;
+  }
+  hosts[7].processor_share = 500;
+  const auto chosen = ChooseHosts(hosts, "d0", MostHostsInUse(48));
+  cr_assert(chosen.size() == 8 && DataCentres(chosen) == std::set<std::string>{"d0"});
+  cr_assert(chosen[0].name == "d0h7");
+  cr_assert(ChooseHosts(hosts, "d0", MostHostsInUse(48)) == chosen, "the same for all callers");
+  cr_assert(MostHostsInUse(3) >= 12);
+}
+
+// Guards against a processor share that is lost between hosts, and against entries of hosts that do
+// not state it.
+Test(member_entry, the_processor_share_is_optional) {
+  member host{
+      .name = "a", .region = "r", .data_centre = "d", .http_address = "x", .peer_address = "y"};
+  cr_assert(MemberFromEntry(ToEntry(host, 0)) == host);
+  host.processor_share = 84;
+  cr_assert(MemberFromEntry(ToEntry(host, 0)) == host);
 }
--- /dev/null
+++ b/tests/node/node_world.h
@@ -0,0 +1,258 @@
+#ifndef TESTS_NODE_NODE_WORLD_H_
+#define TESTS_NODE_NODE_WORLD_H_
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http_server.h"
+#include "net/http_text.h"
+#include "net/server_connection.h"
+#include "node/node_server.h"
+#include "platform/standins/platform_store.h"
+
+namespace limpetlever {
+
+/** A free port of loopback. */
+inline socket_address FreeAddress() {
+  const auto handle = Listen({.ip = "127.0.0.1", .port = 0});
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(handle->fd(), reinterpret_cast<sockaddr*>(&bound), &size);
+  return {.ip = "127.0.0.1", .port = ntohs(bound.sin_port)};
+}
+
+/** How a stand-in of a backend server behaves. */
+struct server_behaviour {
+  /** Answers after this time. */
+  duration delay{};
+  /** Refuses this many requests without running them. */
+  int refusals = 0;
+  /** Resets the connection after the run instead of answering. */
+  bool loses_answers = false;
+};
+
+/** What a test asks and gets. */
+struct answer {
+  int status = 0;
+  std::string body;
+  std::map<std::string, std::string> fields;
+};
+
+/**
+ * One node, the store and backend servers, each with real sockets on loopback: two shards with two
+ * servers each, and a service of two servers for requests that may run once.
+ */
+class node_world {
+ public:
+  explicit node_world(const std::map<std::string, server_behaviour>& behaviour = {}) {
+    std::atomic<bool> is_ready = false;
+    outside_ = std::thread([&] {
+      event_loop loop;
+      platform::platform_store store(loop);
+      std::vector<std::unique_ptr<http_server>> servers;
+      for (const char* id : {"a1", "a2", "b1", "b2", "s1", "s2"}) {
+        const auto found = behaviour.find(id);
+        AddServer(loop, store, servers, id,
+                  found == behaviour.end() ? server_behaviour{} : found->second);
+      }
+      store.Write("op/config", kConfig);
+      store_address_ = store.address();
+      is_ready = true;
+      loop.timers().SubscribeEvery(loop.Now(), std::chrono::milliseconds(10), [&](instant) {
+        if (is_over_) {
+          loop.Stop();
+        }
+      });
+      loop.Run();
+    });
+    while (!is_ready) {
+      std::this_thread::yield();
+    }
+    settings_.name = "host";
+    settings_.region = "r";
+    settings_.data_centre = "dc-a";
+    settings_.caller_address = FreeAddress();
+    settings_.readiness_address = FreeAddress();
+    settings_.directory_address = FreeAddress();
+    settings_.peer_address = FreeAddress();
+    settings_.metrics_address = FreeAddress();
+    settings_.store_address = store_address_;
+    auto created = node_server::Create("/nonexistent", settings_);
+    cr_assert(created, "%s", created ? "" : created.error().message.c_str());
+    server_ = std::move(created.value());
+    node_ = std::thread([this] { server_->Run(); });
+  }
+
+  ~node_world() {
+    if (node_.joinable()) {
+      kill(getpid(), SIGTERM);
+      node_.join();
+    }
+    is_over_ = true;
+    outside_.join();
+  }
+
+  /** Waits until the node has stopped, and closes its addresses as the end of its process does. */
+  void JoinNode() {
+    node_.join();
+    server_.reset();
+  }
+
+  /** Asks until the node knows its configuration and servers, which it reads together. */
+  void AwaitReady() const {
+    while (Get(settings_.readiness_address, "/readiness").status != 200 ||
+           Ask("GET", "/q/ready", "ready").status != 200) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  static answer Get(const socket_address& address, const std::string& target) {
+    Poco::Net::HTTPRequest request("GET", target, "HTTP/1.1");
+    return Exchange(address, request, {});
+  }
+
+  answer Ask(const std::string& method,
+             const std::string& target,
+             const std::string& id,
+             const std::string& body = {}) const {
+    Poco::Net::HTTPRequest request(method, target, "HTTP/1.1");
+    request.setHost("h.example");
+    request.set("Attempt-Id", id);
+    request.set("Deadline-Ms", "20000");
+    return Exchange(settings_.caller_address, request, body);
+  }
+
+  /** How often the servers ran the request of that id. */
+  int RunsOf(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return runs_[id];
+  }
+  /** How often a connection was closed while a server worked on the request of that id. */
+  int CutsOf(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return cuts_[id];
+  }
+
+  const node_settings& settings() const { return settings_; }
+
+ private:
+  static constexpr const char* kConfig = R"({"version":5,"routes":[
+    {"name":"q","host":"h.example","prefix":"/q/","kind":"idempotent","timeoutMs":20000,
+     "targetLatencyMs":10000,"fanout":["shard-a","shard-b"],"maxAttempts":2,"topK":3,"minShardRatio":1.0},
+    {"name":"p","host":"h.example","prefix":"/p/","kind":"non_idempotent","timeoutMs":20000,
+     "targetLatencyMs":10000,"service":"single","maxAttempts":2},
+    {"name":"i","host":"h.example","prefix":"/i/","kind":"idempotent","timeoutMs":20000,
+     "targetLatencyMs":10000,"service":"single","maxAttempts":2}],
+    "services":[],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+  static answer Exchange(const socket_address& address,
+                         Poco::Net::HTTPRequest& request,
+                         const std::string& body) {
+    answer got;
+    try {
+      Poco::Net::HTTPClientSession session(address.ip, address.port);
+      session.setTimeout(Poco::Timespan(60, 0));
+      if (!body.empty()) {
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+      }
+      session.sendRequest(request) << body;
+      Poco::Net::HTTPResponse response;
+      Poco::StreamCopier::copyToString(session.receiveResponse(response), got.body);
+      got.status = response.getStatus();
+      for (const auto& [name, value] : response) {
+        got.fields[name] = value;
+      }
+    } catch (const Poco::Exception&) {
+      got.status = 0;  // No answer.
+    }
+    return got;
+  }
+
+  void AddServer(event_loop& loop,
+                 platform::platform_store& store,
+                 std::vector<std::unique_ptr<http_server>>& servers,
+                 const std::string& id,
+                 server_behaviour behaviour) {
+    const socket_address address = FreeAddress();
+    const std::string service = id[0] == 's' ? "single" : std::string("shard-") + id[0];
+    auto state = std::make_shared<server_behaviour>(behaviour);
+    servers.push_back(std::make_unique<http_server>(
+        loop, std::move(Listen(address).value()),
+        [this, &loop, id, state](const auto& caller) { Serve(loop, id, *state, caller); }));
+    store.Write("servers/" + id,
+                "{\"service\":\"" + service +
+                    "\",\"address\":\"127.0.0.1:" + std::to_string(address.port) +
+                    "\",\"zone\":\"dc-a\",\"slots\":2,\"state\":\"ready\",\"born\":1}");
+  }
+
+  void Serve(event_loop& loop,
+             const std::string& id,
+             server_behaviour& behaviour,
+             const std::shared_ptr<server_connection>& caller) {
+    const std::string request_id(caller->request().Find("Attempt-Id"));
+    std::string head;
+    if (caller->request().Find("Target-Instance") != id) {
+      AppendStatusLine(head, 421);
+      caller->Answer(head, {});
+      return;
+    }
+    if (behaviour.refusals > 0) {
+      --behaviour.refusals;
+      AppendStatusLine(head, 503);
+      AppendField(head, "Not-Executed", "1");
+      caller->Answer(head, {});
+      return;
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      ++runs_[request_id];
+    }
+    caller->OnCallerLeft([this, request_id] {
+      const std::lock_guard lock(mutex_);
+      ++cuts_[request_id];
+    });
+    loop.timers().Subscribe(loop.Now() + behaviour.delay,
+                            [id, request_id, &behaviour, caller](instant) {
+                              if (behaviour.loses_answers) {
+                                caller->Abort();
+                                return;
+                              }
+                              std::string answer_head;
+                              AppendStatusLine(answer_head, 200);
+                              AppendField(answer_head, "Attempt-Id", request_id);
+                              AppendField(answer_head, "Response-Seal", "sig-" + id);
+                              caller->Answer(answer_head, id + std::string(16 - id.size(), '.'));
+                            });
+  }
+
+  node_settings settings_;
+  socket_address store_address_;
+  std::atomic<bool> is_over_ = false;
+  std::mutex mutex_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, int> cuts_;
+  std::thread outside_;
+  std::unique_ptr<node_server> server_;
+  std::thread node_;
+};
+
+}  // namespace limpetlever
+
+#endif  // TESTS_NODE_NODE_WORLD_H_
