Platform: the watch is renewed when a silence of the store has ended

Had all hosts been deaf, none would have told them. Ruled out: renewing when a call is not answered (as before): the new watch falls into the same silence.

--- a/src/liblimpetlever/control/control_sink.h
+++ b/src/liblimpetlever/control/control_sink.h
@@ -33,8 +33,11 @@
   virtual void OnStoreLost(int status) = 0;
   virtual void OnStoreRegained(duration outage) = 0;
   virtual void OnStoreHistoryLost(std::int64_t revision) = 0;
-  /** A call other than the watch was not answered, so the watch may have been cut as well. */
-  virtual void OnStoreSilent() = 0;
+  /**
+   * The store answers a call again after one that it left without an answer. A watch that was sent
+   * in between is never answered.
+   */
+  virtual void OnSilenceEnded() = 0;
   virtual void OnRegistered(std::int64_t lease) = 0;
 };
 
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -199,6 +199,9 @@
   if (feed_.revision() != told_revision_) {
     told_revision_ = feed_.revision();
     peers_.SetRevision(told_revision_);
+    if (std::exchange(has_new_config_, false)) {
+      peers_.TellRevision();
+    }
   } else if (peers_.IsBehind()) {
     log_.Record(event_number::watch_renewed, {{"revision", told_revision_}});
     feed_.Refresh();
@@ -275,6 +278,7 @@
   metrics_.SetConfigVersion(static_cast<double>(table->version()));
   callers_.SetLimits(table->limits());
   query_.UseRouteTable(std::move(table));
+  has_new_config_ = true;
   UseShares();
 }
 
@@ -339,7 +343,7 @@
   log_.Record(event_number::store_history_lost, {{"revision", revision}});
 }
 
-void node_server::OnStoreSilent() {
+void node_server::OnSilenceEnded() {
   feed_.Refresh();
 }
 
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -67,7 +67,7 @@
   void OnStoreLost(int status) override;
   void OnStoreRegained(duration outage) override;
   void OnStoreHistoryLost(std::int64_t revision) override;
-  void OnStoreSilent() override;
+  void OnSilenceEnded() override;
   void OnRegistered(std::int64_t lease) override;
 
   const std::string settings_path_;
@@ -87,6 +87,8 @@
   std::unique_ptr<http_server> directory_;
   bool is_leaving_ = false;
   std::int64_t told_revision_ = 0;
+  /** A configuration came that the other hosts should look for as well. */
+  bool has_new_config_ = false;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -30,6 +30,8 @@
 constexpr std::uint64_t kFirstRelayed = std::uint64_t{1} << 40;
 constexpr std::size_t kMostRelayed = 256;
 constexpr std::size_t kMostReads = 32;
+// Hosts that one host tells of a new revision; with all hosts doing so, each hears of it.
+constexpr std::size_t kToldAtOnce = 16;
 
 std::string ToText(const socket_address& address) {
   return address.ip + ":" + std::to_string(address.port);
@@ -54,6 +56,7 @@
       watch_(loop, socket_.fd(), *this),
       self_(self),
       seed_(seed),
+      random_(seed + 1),
       tracker_(std::move(self), seed, loop.Now()),
       next_relayed_(kFirstRelayed),
       started_(loop.Now()) {
@@ -233,6 +236,20 @@
   behind_since_ = loop_.Now();
 }
 
+void peer_service::TellRevision() {
+  std::vector<member> others;
+  for (const member& host : tracker_.Members()) {
+    if (host.name != self_.name && host.state != member_state::dead) {
+      others.push_back(host);
+    }
+  }
+  for (std::size_t told = 0; told < kToldAtOnce && !others.empty(); ++told) {
+    const std::size_t at = random_.Below(others.size());
+    Send(others[at].peer_address, {.kind = peer_message::kind_type::news});
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+}
+
 bool peer_service::IsBehind() const {
   return newest_heard_ > revision_ && loop_.Now() - behind_since_ > kBehindTime;
 }
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/random_source.h"
 #include "control/gossip_entry.h"
 #include "membership/member.h"
 #include "membership/member_tracker.h"
@@ -44,6 +45,8 @@
   void Leave();
   /** The store's revision that this host tells the others. */
   void SetRevision(std::int64_t revision);
+  /** Tells some hosts at once, so that one with a deaf watch learns of it. */
+  void TellRevision();
   /** Whether another host has told of a newer revision, and this one has waited for it too long. */
   bool IsBehind() const;
   /** This host's own entry, for the store. */
@@ -73,6 +76,7 @@
   io_watch watch_;
   member self_;
   std::uint64_t seed_;
+  random_source random_;
   member_tracker tracker_;
   /** Registered hosts by name, whether they were heard or not. */
   std::map<std::string, member> listed_;
--- /dev/null
+++ b/tests/platform/loop_fixture.h
@@ -0,0 +1,43 @@
+#ifndef TESTS_PLATFORM_LOOP_FIXTURE_H_
+#define TESTS_PLATFORM_LOOP_FIXTURE_H_
+
+#include <criterion/criterion.h>
+
+#include <functional>
+
+#include "net/event_loop.h"
+#include "platform/standins/platform_store.h"
+
+namespace limpetlever {
+
+/** The store's stand-in and the part under test on one loop, with real sockets on loopback. */
+struct loop_fixture {
+  loop_fixture() : store(loop) {}
+
+  /** Runs the loop until the condition holds; fails after a time that no machine needs. */
+  void RunUntil(const std::function<bool()>& condition) {
+    bool has_timed_out = false;
+    const auto limit =
+        loop.timers().Subscribe(loop.UpdateNow() + std::chrono::seconds(60), [&](instant) {
+          has_timed_out = true;
+          loop.Stop();
+        });
+    const auto check =
+        loop.timers().SubscribeEvery(loop.Now(), std::chrono::milliseconds(5), [&](instant) {
+          if (condition()) {
+            loop.Stop();
+          }
+        });
+    loop.Run();
+    loop.timers().Cancel(limit);
+    loop.timers().Cancel(check);
+    cr_assert(!has_timed_out, "the condition did not come about");
+  }
+
+  event_loop loop;
+  platform::platform_store store;
+};
+
+}  // namespace limpetlever
+
+#endif  // TESTS_PLATFORM_LOOP_FIXTURE_H_
--- /dev/null
+++ b/tests/platform/test_host_registration.cc
@@ -0,0 +1,91 @@
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/route_table.h"
+#include "control/control_sink.h"
+#include "loop_fixture.h"
+#include "platform/host_registration.h"
+#include "replicas/replica.h"
+
+using namespace limpetlever;
+using platform::platform_store;
+
+namespace {
+
+/** Counts what the registration reports. */
+class counting_sink : public control_sink {
+ public:
+  void OnRouteTable(std::shared_ptr<const route_table>) override {}
+  void OnRouteTableRefused(const failure&) override {}
+  void OnReplica(const replica&) override {}
+  void OnReplicaRemoved(const std::string&) override {}
+  void OnReplicaRefused(const std::string&, const failure&) override {}
+  void OnDataCentresTakenOut(std::set<std::string>) override {}
+  void OnHosts(const std::vector<gossip_entry>&) override {}
+  void OnStoreLost(int) override {}
+  void OnStoreRegained(duration) override {}
+  void OnStoreHistoryLost(std::int64_t) override {}
+  void OnSilenceEnded() override { ++silences_ended; }
+  void OnRegistered(std::int64_t) override { ++registered; }
+
+  int silences_ended = 0;
+  int registered = 0;
+};
+
+struct registration_fixture : loop_fixture {
+  registration_fixture() : registration(loop, store.address(), 1, sink) {
+    registration.Start("h1", "text");
+    RunUntil([this] { return sink.registered == 1; });
+  }
+
+  bool IsListed() const { return store.items().contains("hosts/h1"); }
+
+  counting_sink sink;
+  platform::host_registration registration;
+};
+
+}  // namespace
+
+// Guards against a host that no other finds, and one that is named after it has left.
+Test(host_registration, the_entry_comes_and_goes_with_the_host) {
+  registration_fixture fixture;
+  cr_assert(fixture.store.items().at("hosts/h1").value == "text");
+  fixture.registration.Replace("other");
+  fixture.RunUntil([&] { return fixture.store.items().at("hosts/h1").value == "other"; });
+  fixture.registration.Leave();
+  fixture.RunUntil([&] { return !fixture.IsListed(); });
+}
+
+// Guards against a host that stays unlisted after the store has taken its key away.
+Test(host_registration, a_revoked_entry_is_written_again) {
+  registration_fixture fixture;
+  fixture.store.RevokeLeases();
+  cr_assert(!fixture.IsListed());
+  fixture.registration.OnEntryMissing();
+  fixture.RunUntil([&] { return fixture.IsListed(); });
+}
+
+// Guards against a lease that ends during an outage without anyone noticing.
+Test(host_registration, a_lease_that_ended_is_granted_again) {
+  registration_fixture fixture;
+  fixture.store.SetMode(platform_store::mode_type::busy);
+  fixture.store.RevokeLeases();
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.RunUntil([&] { return fixture.IsListed(); });
+}
+
+// Guards against a watch that was sent into a silence of the store and is never renewed: deaf hosts
+// used a configuration 3.5 s after its confirmation (deaf-watches, seed 376511570744).
+Test(host_registration, the_end_of_a_silence_is_reported) {
+  registration_fixture fixture;
+  const int calls = fixture.store.CallsOf("/kv-keep");
+  fixture.store.SetMode(platform_store::mode_type::silent);
+  fixture.RunUntil([&] { return fixture.store.CallsOf("/kv-keep") >= calls + 2; });
+  cr_assert(fixture.sink.silences_ended == 0);
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.RunUntil([&] { return fixture.sink.silences_ended == 1; });
+}
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -1,11 +1,9 @@
 #include <criterion/criterion.h>
 
-#include <functional>
 #include <map>
 #include <string>
 
-#include "net/event_loop.h"
-#include "platform/standins/platform_store.h"
+#include "loop_fixture.h"
 #include "platform/store_watcher.h"
 
 using namespace limpetlever;
@@ -35,32 +33,10 @@
   int histories_lost = 0;
 };
 
-struct watcher_fixture {
-  watcher_fixture() : store(loop), watcher(loop, store.address(), 1, seen) {}
+struct watcher_fixture : loop_fixture {
+  watcher_fixture() : watcher(loop, store.address(), 1, seen) {}
 
-  /** Runs the loop until the condition holds; fails after a time that no machine needs. */
-  void RunUntil(const std::function<bool()>& condition) {
-    bool has_timed_out = false;
-    const auto limit =
-        loop.timers().Subscribe(loop.UpdateNow() + std::chrono::seconds(60), [&](instant) {
-          has_timed_out = true;
-          loop.Stop();
-        });
-    const auto check =
-        loop.timers().SubscribeEvery(loop.Now(), std::chrono::milliseconds(5), [&](instant) {
-          if (condition()) {
-            loop.Stop();
-          }
-        });
-    loop.Run();
-    loop.timers().Cancel(limit);
-    loop.timers().Cancel(check);
-    cr_assert(!has_timed_out, "the condition did not come about");
-  }
-
-  event_loop loop;
   recorder seen;
-  platform_store store;
   platform::store_watcher watcher;
 };
 
