--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -115,7 +115,7 @@
     possible += HasUsableReplica(shard) ? 1 : 0;
   }
   if (possible < NeededParts()) {
-    Fail(errc::no_replica, "too few shards have a usable backend server", now, actions);
+    Fail(errc::no_replica, "too few shards have a usable backend server", actions);
     return;
   }
   OmitLateShards(possible, now);
@@ -222,6 +222,11 @@
   return true;
 }
 
+void query_plan::Close(attempt_state& item) {
+  item.is_open = false;
+  --shards_[item.shard].open_attempts;
+}
+
 void query_plan::OnReply(std::uint32_t attempt,
                          replica_reply reply,
                          instant now,
@@ -230,8 +235,7 @@
   if (!item.is_open) {
     return;
   }
-  item.is_open = false;
-  --shards_[item.shard].open_attempts;
+  Close(item);
   replica_record& record = *item.target;
   if (reply.load) {
     record.load.OnReport(*reply.load, now);
@@ -272,8 +276,7 @@
   if (!item.is_open) {
     return;
   }
-  item.is_open = false;
-  --shards_[item.shard].open_attempts;
+  Close(item);
   item.target->load.OnFailed(item.sent, now);
   const bool may_have_run = MayHaveRun(failure);
   may_have_run_ = may_have_run_ || may_have_run;
@@ -291,8 +294,7 @@
 void query_plan::OnCancelled(std::uint32_t attempt, instant now) {
   attempt_state& item = attempts_[attempt];
   if (item.is_open) {
-    item.is_open = false;
-    --shards_[item.shard].open_attempts;
+    Close(item);
     item.target->load.OnCancelled(item.sent, now, terms_.usual);
   }
 }
@@ -364,16 +366,25 @@
   const int needed = NeededParts();
   const bool is_settled = answered_ + lost_ == count;
   if (answered_ >= needed && (is_settled || now >= answer_by_)) {
-    Finish(now, actions);
+    Finish(actions);
   } else if (count - lost_ < needed) {
-    Fail(errc::backend_error, "too many shards have no answer", now, actions);
+    Fail(errc::backend_error, "too many shards have no answer", actions);
   } else if (now >= deadline_) {
-    Fail(errc::deadline_exceeded, "the deadline has passed", now, actions);
+    Fail(errc::deadline_exceeded, "the deadline has passed", actions);
   }
 }
 
-void query_plan::Finish(instant, action_list& actions) {
+void query_plan::End(action_list& actions) {
   is_done_ = true;
+  for (std::uint32_t i = 0; i < attempts_.size(); ++i) {
+    if (attempts_[i].is_open) {
+      actions.push_back({.kind = query_action::kind_type::abandon, .attempt = i});
+    }
+  }
+  actions.push_back({.kind = query_action::kind_type::finish});
+}
+
+void query_plan::Finish(action_list& actions) {
   outcome_.result = Ran();
   if (path_.IsOverShards()) {
     outcome_.parts = std::move(parts_);
@@ -381,16 +392,10 @@
   } else {
     outcome_.reply = std::move(parts_.front());
   }
-  for (std::uint32_t i = 0; i < attempts_.size(); ++i) {
-    if (attempts_[i].is_open) {
-      actions.push_back({.kind = query_action::kind_type::abandon, .attempt = i});
-    }
-  }
-  actions.push_back({.kind = query_action::kind_type::finish});
+  End(actions);
 }
 
-void query_plan::Fail(errc reason, std::string detail, instant, action_list& actions) {
-  is_done_ = true;
+void query_plan::Fail(errc reason, std::string detail, action_list& actions) {
   const bool is_open = std::any_of(attempts_.begin(), attempts_.end(),
                                    [](const attempt_state& item) { return item.is_open; });
   if (may_have_run_ || is_open) {
@@ -399,12 +404,7 @@
     outcome_.result = NotRun(reason, std::move(detail));
   }
   outcome_.reply = std::move(last_refusal_);
-  for (std::uint32_t i = 0; i < attempts_.size(); ++i) {
-    if (attempts_[i].is_open) {
-      actions.push_back({.kind = query_action::kind_type::abandon, .attempt = i});
-    }
-  }
-  actions.push_back({.kind = query_action::kind_type::finish});
+  End(actions);
 }
 
 void query_plan::OnTimer(instant now, action_list& actions) {
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -102,8 +102,10 @@
   void TakePart(std::size_t shard, replica_reply reply);
   void MarkLost(std::size_t shard);
   void FinishIfPossible(instant now, action_list& actions);
-  void Finish(instant now, action_list& actions);
-  void Fail(errc reason, std::string detail, instant now, action_list& actions);
+  void Finish(action_list& actions);
+  void Fail(errc reason, std::string detail, action_list& actions);
+  void End(action_list& actions);
+  void Close(attempt_state& item);
   int NeededParts() const;
   retry_budget& BudgetOf(const shard_state& shard);
 
