Limits: a warm-up of unknown length ends by the trend of the latency, not by a fixed plateau

Cause: with no latency to compare to, 2.5 s without a fall of 2% was taken for a warm server. A server with few slots and a long warm-up falls by 2% in that time, which is within the error of its mean. Ruled out: a longer plateau; 2.5 s is the most that a warm-up of 10 s leaves.

--- a/src/liblimpetlever/limits/replica_limiter.cc
+++ b/src/liblimpetlever/limits/replica_limiter.cc
@@ -42,11 +42,12 @@
 constexpr double kPlateauShare = 0.5;
 constexpr double kClearlyLower = 0.95;
 
-// With no latency to compare to, the first plateau of the latency shows that the server is warm.
-// A server that starts 3 times slower and warms up in 30 s becomes 2% faster in 0.9 s at first;
-// the rest of the wait is for the error of the mean.
-constexpr duration kFirstPlateau = milliseconds(2500);
+// With no latency to compare to, a latency that never fell clearly belongs to a replica that was
+// warm from the start: a replica that starts 3 times slower and warms up in 30 s becomes 2% faster
+// in 0.9 s.
 constexpr double kFirstClearlyLower = 0.98;
+// Stragglers count for at most this many times the mean in the trend of the latency.
+constexpr int kMostTrendFactor = 2;
 
 constexpr std::size_t kFormerIds = 8;
 
@@ -97,6 +98,7 @@
   if (!warming_since_) {
     warming_since_ = now - elapsed;
     unusual_at_ = instant::min();
+    trend_.Start(*warming_since_);
   }
   Record(elapsed, now);
   if (was_limited && !IsFromBeforeFall(elapsed, now)) {
@@ -112,6 +114,9 @@
 
 void replica_limiter::Record(duration elapsed, instant now) {
   recent_.Add(elapsed);
+  if (!usual_ && recent_.IsFull()) {
+    trend_.Add(std::min(elapsed, recent_.TrimmedMean() * kMostTrendFactor), now);
+  }
   const bool is_jump = usual_ && elapsed > *usual_ * kJumpFactor;
   jumps_in_a_row_ = is_jump ? jumps_in_a_row_ + 1 : 0;
   if (state_.IsIn("warm")) {
@@ -162,8 +167,9 @@
     fastest_ = mean;
     fastest_at_ = now;
   }
+  const duration plateau = std::max(kShortestPlateau, Scaled(now - *warming_since_, kPlateauShare));
   if (!usual_ &&
-      now - fastest_at_ >= std::max(kFirstPlateau, Scaled(now - *warming_since_, kExtraWait))) {
+      (trend_.HasFlattened(now) || trend_.NeverFell(now) || now - fastest_at_ >= plateau)) {
     usual_ = mean;
     is_usual_presumed_ = true;
   }
@@ -180,7 +186,6 @@
   is_open_ = unusual_in_a_row_ == 0 &&
              (unusual_at_ < *warming_since_ ||
               now - *warming_since_ >= Scaled(unusual_at_ - *warming_since_, 1.0 + kExtraWait));
-  const duration plateau = std::max(kShortestPlateau, Scaled(now - *warming_since_, kPlateauShare));
   if (mean > Scaled(*usual_, kUsualMargin) && now - fastest_at_ > plateau) {
     usual_ = mean;
   }
@@ -311,6 +316,7 @@
   if (!warming_since_) {
     warming_since_ = now;
     unusual_at_ = instant::min();
+    trend_.Start(now);
     slowest_ = duration::zero();
   }
   fell_at_ = now;
--- a/src/liblimpetlever/limits/replica_limiter.h
+++ b/src/liblimpetlever/limits/replica_limiter.h
@@ -7,6 +7,7 @@
 
 #include "base/time_types.h"
 #include "chart/chart_state.h"
+#include "limits/latency_trend.h"
 #include "limits/latency_window.h"
 
 namespace limpetlever {
@@ -89,6 +90,8 @@
   /** Whether `usual_` comes from a plateau and the full limit has not confirmed it. */
   bool is_usual_presumed_ = false;
   latency_window recent_;
+  /** Of this warm-up, while no latency is known to compare to. */
+  latency_trend trend_;
   int jumps_in_a_row_ = 0;
   int successes_ = 0;
 
