--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -83,6 +83,37 @@
   cr_assert(fixture.seen.loads == 1, "the watch goes on from the last revision");
 }
 
+// Guards against a host that returns after an outage with many changes and is seconds behind,
+// because it pauses between the pages of one answer: 1,200 changes come in three pages.
+Test(store_watcher, pages_of_changes_follow_without_a_pause) {
+  watcher_fixture fixture;
+  fixture.watcher.Start();
+  fixture.RunUntil([&] { return fixture.seen.loads == 1; });
+  fixture.store.SetMode(platform_store::mode_type::silent);
+  constexpr int kChanges = 1200;
+  for (int i = 0; i < kChanges; ++i) {
+    fixture.store.Write("key" + std::to_string(i), "v");
+  }
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.watcher.Refresh();
+  fixture.RunUntil([&] { return fixture.seen.values.size() == kChanges; });
+  cr_assert(platform::store_watcher::PauseAfter(500) == duration::zero());
+  cr_assert(platform::store_watcher::PauseAfter(0) == duration::zero());
+  cr_assert(platform::store_watcher::PauseAfter(3) > duration::zero());
+}
+
+// Guards against a watch that is ended again and again before its answer can arrive, because other
+// hosts know newer revisions: on a narrow link a page takes a second.
+Test(store_watcher, a_young_watch_is_left_alone) {
+  watcher_fixture fixture;
+  fixture.watcher.Start();
+  fixture.RunUntil([&] { return fixture.store.CallsOf("/kv-watch") == 1; });
+  fixture.watcher.CatchUp();
+  fixture.store.Write("a", "1");
+  fixture.RunUntil([&] { return fixture.seen.values.contains("a"); });
+  cr_assert(fixture.store.CallsOf("/kv-watch") == 1);
+}
+
 // Guards against removals that are missed when the store has forgotten its history.
 Test(store_watcher, reads_everything_again_after_lost_history) {
   watcher_fixture fixture;
