Query: extra attempts are earned by time as well, and shared by the hosts in use

Cause: on grown sites the slack of the bound on extra attempts (278 in 10 s a service) was granted once, not once a window, and to 107 hosts of which callers use 29; shards that paused were left out of 774 of 1,097 answers. Change: a quarter of the slack is earned in each window; hosts that callers are sent to share 0.85 of it. A host that is cut off keeps to the share of the largest fleet of the last 60 s. A starting host has half of what may be saved.

--- a/src/liblimpetlever/membership/host_choice.cc
+++ b/src/liblimpetlever/membership/host_choice.cc
@@ -76,14 +76,18 @@
       std::max(kLeastHostsInUse, max_connections / kConnectionsPerHost));
 }
 
-std::vector<member> ChooseHosts(const std::vector<member>& members,
-                                const std::string& data_centre,
-                                std::size_t most_in_use) {
+std::vector<member> HostsInUse(const std::vector<member>& members, std::size_t most_in_use) {
   std::vector<member> chosen = InState(members, member_state::alive);
   if (chosen.empty()) {
     chosen = InState(members, member_state::suspect);
   }
-  chosen = StrongestOfEach(chosen, most_in_use);
+  return StrongestOfEach(chosen, most_in_use);
+}
+
+std::vector<member> ChooseHosts(const std::vector<member>& members,
+                                const std::string& data_centre,
+                                std::size_t most_in_use) {
+  std::vector<member> chosen = HostsInUse(members, most_in_use);
   std::vector<member> near = InDataCentre(chosen, data_centre);
   if (near.size() >= kLeastNearHosts &&
       static_cast<double>(near.size()) >= kLeastPartOfMean * MeanPerDataCentre(chosen)) {
--- a/src/liblimpetlever/membership/host_choice.h
+++ b/src/liblimpetlever/membership/host_choice.h
@@ -22,6 +22,12 @@
                                 const std::string& data_centre,
                                 std::size_t most_in_use);
 
+/**
+ * The hosts that callers are sent to: those that are alive, or suspected if none is, and of a
+ * larger fleet those with the most processor time in each data centre, `most_in_use` in all.
+ */
+std::vector<member> HostsInUse(const std::vector<member>& members, std::size_t most_in_use);
+
 /**
  * How many hosts a fleet should use, so that each may hold some connections to a backend server
  * that accepts `max_connections` from all of them.
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -111,7 +111,7 @@
 void query_plan::Start(instant now, action_list& actions) {
   int possible = 0;
   for (const shard_state& shard : shards_) {
-    BudgetOf(shard).OnRequest(state_.terms);
+    BudgetOf(shard).OnRequest(state_.terms, now);
     possible += HasUsableReplica(shard) ? 1 : 0;
   }
   if (possible < NeededParts()) {
@@ -306,7 +306,7 @@
   shard_state& shard = shards_[shard_index];
   if (shard.sends < kMostSends && now < deadline_) {
     // A request that never reached a server costs the servers nothing when it is sent again.
-    const bool is_allowed = !has_arrived || BudgetOf(shard).TakeRetry();
+    const bool is_allowed = !has_arrived || BudgetOf(shard).TakeRetry(state_.terms, now);
     if (is_allowed && Send(shard_index, send_reason::retry, now, actions)) {
       ++retries_;
       return;
@@ -330,7 +330,7 @@
   if (!target || now + ExpectedLatency(*target, terms_, now) > answer_by_) {
     return;
   }
-  if (!BudgetOf(shard).TakeHedge(state_.terms)) {
+  if (!BudgetOf(shard).TakeHedge(state_.terms, now)) {
     ++refused_extras_;
     return;
   }
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -35,6 +35,11 @@
 constexpr duration kRevisionCheck = std::chrono::milliseconds(200);
 // The settings file may change without a signal.
 constexpr duration kSettingsCheck = std::chrono::seconds(2);
+// A host that is cut off keeps to its share for so long: six windows of the bound on retries.
+constexpr duration kFleetSizeMemory = std::chrono::seconds(60);
+// Part of the extra attempts for the hosts that callers are sent to, where a fleet is larger. The
+// others serve callers that keep an old answer.
+constexpr double kPartOfHostsInUse = 0.85;
 // Descriptors kept for files, the store, peers and connections to backend servers.
 constexpr int kReservedDescriptors = 200;
 
@@ -107,9 +112,10 @@
       readiness_(loop_,
                  std::move(sockets.readiness),
                  [this](const auto& caller) { HandleReadiness(caller); }),
-      metrics_server_(loop_, std::move(sockets.metrics), [this](const auto& caller) {
-        HandleMetrics(caller);
-      }) {
+      metrics_server_(loop_,
+                      std::move(sockets.metrics),
+                      [this](const auto& caller) { HandleMetrics(caller); }),
+      fleet_size_(kFleetSizeMemory) {
   if (sockets.directory.is_open()) {
     directory_ =
         std::make_unique<http_server>(loop_, std::move(sockets.directory),
@@ -153,14 +159,31 @@
     return host.state != member_state::dead;
   });
   metrics_.SetPeers(static_cast<double>(hosts));
-  query_.UseRetryTerms(
-      ShareOfFleet(settings_.retry_ratio, settings_.retry_slack, static_cast<int>(hosts)));
+  UseRetryShare(members, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
   if (query_.table()) {
     const auto in_use = std::min<std::size_t>(static_cast<std::size_t>(hosts), MostHostsInUse());
     pools_.UseLimits(*query_.table(), static_cast<int>(in_use));
   }
 }
 
+void node_server::UseRetryShare(const std::vector<member>& members, int fleet_size) {
+  const auto most = static_cast<int>(MostHostsInUse());
+  double part = 1.0;
+  int sharing = fleet_size;
+  if (fleet_size > most) {
+    const auto in_use = HostsInUse(members, MostHostsInUse());
+    const bool is_used = std::any_of(in_use.begin(), in_use.end(), [this](const member& host) {
+      return host.name == settings_.name;
+    });
+    part = is_used ? kPartOfHostsInUse : 1.0 - kPartOfHostsInUse;
+    sharing = is_used ? most : fleet_size - most;
+  }
+  query_.UseRetryTerms(ShareOfFleet({.ratio = settings_.retry_ratio,
+                                     .slack = settings_.retry_slack,
+                                     .window = settings_.retry_window},
+                                    part, sharing));
+}
+
 std::size_t node_server::MostHostsInUse() const {
   int least = std::numeric_limits<int>::max();
   if (query_.table()) {
@@ -204,7 +227,7 @@
     }
   } else if (peers_.IsBehind()) {
     log_.Record(event_number::watch_renewed, {{"revision", told_revision_}});
-    feed_.Refresh();
+    feed_.CatchUp();
     peers_.SetRevision(told_revision_);
   }
 }
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/control_sink.h"
+#include "membership/recent_maximum.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "node/log_writer.h"
@@ -51,6 +52,8 @@
   void CheckRevision();
   void UseSettings(const node_settings& settings);
   void UseShares();
+  /** Takes this host's share of the extra attempts of a fleet of `fleet_size` hosts. */
+  void UseRetryShare(const std::vector<member>& members, int fleet_size);
   /** By the service that accepts the fewest connections. */
   std::size_t MostHostsInUse() const;
   void Leave();
@@ -85,6 +88,7 @@
   http_server readiness_;
   http_server metrics_server_;
   std::unique_ptr<http_server> directory_;
+  recent_maximum fleet_size_;
   bool is_leaving_ = false;
   std::int64_t told_revision_ = 0;
   /** A configuration came that the other hosts should look for as well. */
--- a/src/limpetlever/node/node_settings.cc
+++ b/src/limpetlever/node/node_settings.cc
@@ -105,6 +105,7 @@
       reader.Seconds("max_advice_lifetime_s", settings.max_advice_lifetime);
   settings.retry_ratio = reader.Number("retry_ratio", 0.0, 1.0, settings.retry_ratio);
   settings.retry_slack = reader.Number("retry_slack", 0.0, 1e6, settings.retry_slack);
+  settings.retry_window = reader.Seconds("retry_window_s", settings.retry_window);
   if (reader.mistake()) {
     return *reader.mistake();
   }
--- a/src/limpetlever/node/node_settings.h
+++ b/src/limpetlever/node/node_settings.h
@@ -39,6 +39,8 @@
   double retry_ratio = 0.2;
   /** Bound for the fleet: extra attempts in a window beside the ratio. */
   double retry_slack = 100.0;
+  /** The window of that bound. */
+  duration retry_window = std::chrono::seconds(10);
 
   bool operator==(const node_settings&) const = default;
 };
--- a/tests/query/test_retry_budget.cc
+++ b/tests/query/test_retry_budget.cc
@@ -14,29 +14,34 @@
   constexpr double kRatio = 0.2;
   constexpr double kSlack = 104.0;
   constexpr int kWindow = 100;  // steps
+  constexpr duration kStep = std::chrono::milliseconds(100);
   for (const int hosts : {1, 3, 12, 126}) {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       random_source dice(seed);
-      const retry_terms terms = ShareOfFleet(kRatio, kSlack, hosts);
+      const retry_terms terms =
+          ShareOfFleet({.ratio = kRatio, .slack = kSlack, .window = kWindow * kStep}, 1.0, hosts);
       std::vector<retry_budget> budgets(static_cast<std::size_t>(hosts));
       std::deque<int> requests;
       std::deque<int> extras;
+      instant now{};
       for (int step = 0; step < 1000; ++step) {
+        now += kStep;
         int arrived = 0;
         int taken = 0;
         for (retry_budget& budget : budgets) {
           const auto count = static_cast<int>(dice.Below(4));
           for (int i = 0; i < count; ++i) {
-            budget.OnRequest(terms);
+            budget.OnRequest(terms, now);
             ++arrived;
           }
           // Saves for a while and then takes everything at once.
-          while (step % 170 > 150 && budget.TakeRetry()) {
+          while (step % 170 > 150 && budget.TakeRetry(terms, now)) {
             ++taken;
           }
         }
-        if (step % 500 == 250) {
-          budgets[0] = retry_budget();
+        // All hosts start anew in the middle of a time in which everything is taken.
+        if (step % 510 == 500) {
+          budgets.assign(budgets.size(), retry_budget());
         }
         requests.push_back(arrived);
         extras.push_back(taken);
@@ -60,21 +65,43 @@
 // Guards against a budget that grants what was not earned.
 Test(retry_budget, nothing_is_granted_before_a_request) {
   retry_budget budget;
-  cr_assert(!budget.TakeRetry());
+  cr_assert(!budget.TakeRetry({}, {}));
 }
 
 // Guards against hedges that leave nothing for the retries of failed attempts.
 Test(retry_budget, hedges_leave_a_part_to_retries) {
   const retry_terms terms{.per_request = 0.1, .burst = 8.0};
   retry_budget budget;
-  budget.OnRequest(terms);
+  budget.OnRequest(terms, {});
+  // A host starts with a part of what may be saved.
+  for (int i = 0; i < 100; ++i) {
+    budget.OnRequest(terms, {});
+  }
   int hedges = 0;
-  while (budget.TakeHedge(terms)) {
+  while (budget.TakeHedge(terms, {})) {
     ++hedges;
   }
   int retries = 0;
-  while (budget.TakeRetry()) {
+  while (budget.TakeRetry(terms, {})) {
     ++retries;
   }
   cr_assert(hedges >= 3 && retries >= 3, "%d hedges, %d retries", hedges, retries);
 }
+
+// Guards against a service with few requests that earns no extra attempt while most of the fleet's
+// bound, which is granted by time, is unused.
+Test(retry_budget, time_earns_extra_attempts) {
+  const retry_terms terms =
+      ShareOfFleet({.ratio = 0.2, .slack = 100.0, .window = std::chrono::seconds(10)}, 1.0, 10);
+  retry_budget budget;
+  instant now{};
+  budget.OnRequest(terms, now);
+  while (budget.TakeRetry(terms, now)) {
+  }
+  int taken = 0;
+  for (int second = 0; second < 100; ++second) {
+    now += std::chrono::seconds(1);
+    taken += budget.TakeRetry(terms, now) ? 1 : 0;
+  }
+  cr_assert(taken >= 20 && taken <= 30, "%d in 10 windows", taken);
+}
