Control: few hosts of a large fleet watch the store, the others follow them

Ruled out: a push between hosts (a lost datagram needs a second way; the watch protocol has one already); followers without a way to the store. Change: store_relay answers the store's reading calls from a copy; two hosts a data centre relay (watcher_choice); source_choice decides whom to follow, and turns to the store when the relays fail. A host that the store turns away follows another one.

--- a/src/liblimpetlever/control/control_sink.h
+++ b/src/liblimpetlever/control/control_sink.h
@@ -32,6 +32,8 @@
   virtual void OnHosts(const std::vector<gossip_entry>& hosts) = 0;
   virtual void OnStoreLost(int status) = 0;
   virtual void OnStoreRegained(duration outage) = 0;
+  /** A call to the store, or to the host that relays it, was refused or not answered. */
+  virtual void OnSourceFailed(int status) = 0;
   virtual void OnStoreHistoryLost(std::int64_t revision) = 0;
   /**
    * The store answers a call again after one that it left without an answer. A watch that was sent
--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -120,6 +120,8 @@
       return "host_registered";
     case event_number::watch_renewed:
       return "watch_renewed";
+    case event_number::source_chosen:
+      return "source_chosen";
     case event_number::peer_state_changed:
       return "peer_state_changed";
     case event_number::log_lines_dropped:
@@ -188,6 +190,7 @@
       event_number::store_history_lost,
       event_number::host_registered,
       event_number::watch_renewed,
+      event_number::source_chosen,
       event_number::peer_state_changed,
       event_number::log_lines_dropped,
   };
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -71,6 +71,7 @@
   store_history_lost = 932,
   host_registered = 933,
   watch_renewed = 934,
+  source_chosen = 935,
   peer_state_changed = 940,
   log_lines_dropped = 950,
 };
--- a/src/limpetlever/net/http_text.cc
+++ b/src/limpetlever/net/http_text.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 #include "net/http_message.h"
 
@@ -61,6 +62,19 @@
   return out;
 }
 
+std::string Unescaped(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    const bool is_escape =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(&text[i + 1], &text[i + 1] + 2, value, 16).ptr == &text[i + 1] + 2;
+    out += is_escape ? static_cast<char>(value) : text[i];
+    i += is_escape ? 2 : 0;
+  }
+  return out;
+}
+
 bool IsHopField(std::string_view name) {
   return std::any_of(kHopFields.begin(), kHopFields.end(),
                      [name](std::string_view hop) { return IsSameName(name, hop); });
--- a/src/limpetlever/net/http_text.h
+++ b/src/limpetlever/net/http_text.h
@@ -17,6 +17,9 @@
 /** A whole response with a body of the given type. */
 std::string SimpleResponse(int status, std::string_view content_type, std::string_view body);
 
+/** Resolves the %XX escapes of a query parameter; others stay as they are. */
+std::string Unescaped(std::string_view text);
+
 /** Whether a header field concerns one connection only and is not passed on. */
 bool IsHopField(std::string_view name);
 
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -33,6 +33,10 @@
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
 constexpr duration kDrainCheck = std::chrono::milliseconds(100);
 constexpr duration kRevisionCheck = std::chrono::milliseconds(200);
+// How often the source of changes is reviewed beside its failures, and how long a host that starts
+// waits before: its view of the other hosts is complete after some probes.
+constexpr duration kSourceCheck = std::chrono::seconds(1);
+constexpr duration kSourceSettling = std::chrono::milliseconds(2500);
 // The settings file may change without a signal.
 constexpr duration kSettingsCheck = std::chrono::seconds(2);
 // A host that is cut off keeps to its share for so long: six windows of the bound on retries.
@@ -77,7 +81,9 @@
   };
   for (const auto& [address, into] : {std::pair{&settings.caller_address, &sockets.callers},
                                       std::pair{&settings.readiness_address, &sockets.readiness},
-                                      std::pair{&settings.metrics_address, &sockets.metrics}}) {
+                                      std::pair{&settings.metrics_address, &sockets.metrics},
+                                      // Datagrams and connections of other hosts: one address.
+                                      std::pair{&settings.peer_address, &sockets.relay}}) {
     if (auto error = listen(*address, *into)) {
       return *error;
     }
@@ -104,7 +110,7 @@
       pools_(loop_, metrics_),
       query_(loop_, replicas_, pools_, log_, metrics_, Seed(settings_)),
       peers_(loop_, log_, std::move(sockets.peers), SelfOf(settings_), Seed(settings_)),
-      feed_(loop_, settings_.store_address, Seed(settings_), *this),
+      feed_(loop_, settings_.store_address, std::move(sockets.relay), Seed(settings_), *this),
       registration_(loop_, settings_.store_address, Seed(settings_) + 1, *this),
       callers_(loop_,
                std::move(sockets.callers),
@@ -115,7 +121,9 @@
       metrics_server_(loop_,
                       std::move(sockets.metrics),
                       [this](const auto& caller) { HandleMetrics(caller); }),
-      fleet_size_(kFleetSizeMemory) {
+      fleet_size_(kFleetSizeMemory),
+      source_(settings_.name, settings_.data_centre),
+      started_(loop_.Now()) {
   if (sockets.directory.is_open()) {
     directory_ =
         std::make_unique<http_server>(loop_, std::move(sockets.directory),
@@ -128,6 +136,8 @@
   loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
   loop_.timers().SubscribeEvery(loop_.Now() + kRevisionCheck, kRevisionCheck,
                                 [this](instant) { CheckRevision(); });
+  loop_.timers().SubscribeEvery(loop_.Now() + kSourceCheck, kSourceCheck,
+                                [this](instant) { UseSource("members"); });
   loop_.timers().SubscribeEvery(loop_.Now() + kSettingsCheck, kSettingsCheck,
                                 [this](instant) { CheckSettingsFile(); });
 }
@@ -166,6 +176,27 @@
   }
 }
 
+void node_server::UseSource(const char* cause) {
+  if (loop_.Now() - started_ < kSourceSettling) {
+    return;
+  }
+  const auto members = peers_.Members();
+  const auto hosts = static_cast<int>(members.size());
+  feed_.SetRelaying(!is_leaving_ && source_.IsRelay(members));
+  const std::string before = source_.current();
+  const std::string& name = source_.Choose(members, hosts, loop_.Now());
+  if (name == before) {
+    return;
+  }
+  log_.Record(event_number::source_chosen, {{"source", name.empty() ? "store" : name},
+                                            {"before", before.empty() ? "store" : before},
+                                            {"cause", cause},
+                                            {"revision", feed_.revision()}});
+  const auto host = std::find_if(members.begin(), members.end(),
+                                 [&name](const member& item) { return item.name == name; });
+  feed_.UseSource(host == members.end() ? std::nullopt : ParseSocketAddress(host->peer_address));
+}
+
 void node_server::UseRetryShare(const std::vector<member>& members, int fleet_size) {
   const auto most = static_cast<int>(MostHostsInUse());
   double part = 1.0;
@@ -227,7 +258,12 @@
     }
   } else if (peers_.IsBehind()) {
     log_.Record(event_number::watch_renewed, {{"revision", told_revision_}});
-    feed_.CatchUp();
+    if (source_.current().empty()) {
+      feed_.CatchUp();
+    } else {
+      source_.OnFailed(loop_.Now());
+      UseSource("behind");
+    }
     peers_.SetRevision(told_revision_);
   }
 }
@@ -362,6 +398,11 @@
   log_.Record(event_number::store_regained, {{"outage_ms", outage}});
 }
 
+void node_server::OnSourceFailed(int status) {
+  source_.OnFailed(loop_.Now());
+  UseSource(status == 0 ? "no_answer" : "refused");
+}
+
 void node_server::OnStoreHistoryLost(std::int64_t revision) {
   log_.Record(event_number::store_history_lost, {{"revision", revision}});
 }
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/control_sink.h"
+#include "control/source_choice.h"
 #include "membership/recent_maximum.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
@@ -41,6 +42,7 @@
     socket_handle directory;
     socket_handle metrics;
     socket_handle peers;
+    socket_handle relay;
   };
   node_server(std::string settings_path, node_settings settings, listeners sockets);
 
@@ -52,6 +54,8 @@
   void CheckRevision();
   void UseSettings(const node_settings& settings);
   void UseShares();
+  /** Chooses from whom this host learns of changes, and whether it relays them. */
+  void UseSource(const char* cause);
   /** Takes this host's share of the extra attempts of a fleet of `fleet_size` hosts. */
   void UseRetryShare(const std::vector<member>& members, int fleet_size);
   /** By the service that accepts the fewest connections. */
@@ -69,6 +73,7 @@
   void OnHosts(const std::vector<gossip_entry>& hosts) override;
   void OnStoreLost(int status) override;
   void OnStoreRegained(duration outage) override;
+  void OnSourceFailed(int status) override;
   void OnStoreHistoryLost(std::int64_t revision) override;
   void OnSilenceEnded() override;
   void OnRegistered(std::int64_t lease) override;
@@ -89,6 +94,8 @@
   http_server metrics_server_;
   std::unique_ptr<http_server> directory_;
   recent_maximum fleet_size_;
+  source_choice source_;
+  instant started_;
   bool is_leaving_ = false;
   std::int64_t told_revision_ = 0;
   /** A configuration came that the other hosts should look for as well. */
--- a/tests/platform/test_host_registration.cc
+++ b/tests/platform/test_host_registration.cc
@@ -28,6 +28,7 @@
   void OnHosts(const std::vector<gossip_entry>&) override {}
   void OnStoreLost(int) override {}
   void OnStoreRegained(duration) override {}
+  void OnSourceFailed(int) override {}
   void OnStoreHistoryLost(std::int64_t) override {}
   void OnSilenceEnded() override { ++silences_ended; }
   void OnRegistered(std::int64_t) override { ++registered; }
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -21,7 +21,10 @@
       values[item.key] = item.value;
     }
   }
+  void OnRead(const platform::store_item&) override {}
   void OnLoaded(std::int64_t) override { ++loads; }
+  void OnRevision(std::int64_t) override {}
+  void OnCallFailed(int) override {}
   void OnStoreLost(int) override { ++losses; }
   void OnStoreRegained(duration) override { ++returns; }
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
