Membership: hosts much weaker than the strongest are not used where the others suffice

Cause: a query over 90 shards takes about 10 ms of processor time, 120 ms on a host with 0.084 of a core. Ruled out: connections (11 a server and host), the servers (busiest 1.33 times the mean), the budget (hedges are 7 a query, more than the pauses need). Change: of a fleet only hosts with half of the strongest one's processor share are used, if they are four or more and a quarter of the fleet's time.

--- a/src/liblimpetlever/membership/host_choice.cc
+++ b/src/liblimpetlever/membership/host_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -18,6 +19,13 @@
 constexpr int kLeastHostsInUse = 12;
 // One host alone would take all callers of its data centre with it.
 constexpr std::size_t kLeastNearHosts = 2;
+// A query over 90 shards takes about 10 ms of processor time, which is 120 ms on a host with 0.084
+// of a core. Hosts with less than this part of the strongest one's share are not used ...
+constexpr double kLeastPartOfStrongest = 0.5;
+// ... if that leaves so many hosts, which bears the loss of some, and this part of the processor
+// time of the fleet.
+constexpr std::size_t kLeastStrongHosts = 4;
+constexpr double kLeastPartOfFleet = 0.25;
 // Part of the mean number of hosts in a data centre that bears the callers of one.
 constexpr double kLeastPartOfMean = 0.5;
 
@@ -64,6 +72,27 @@
   return strongest;
 }
 
+int ProcessorShareOf(const std::vector<member>& members) {
+  return std::accumulate(members.begin(), members.end(), 0,
+                         [](int sum, const member& host) { return sum + host.processor_share; });
+}
+
+/** Without the hosts that are much weaker than the strongest one, where the others suffice. */
+std::vector<member> WithoutWeak(const std::vector<member>& members, int fleet_share) {
+  int strongest = 0;
+  for (const member& host : members) {
+    strongest = std::max(strongest, host.processor_share);
+  }
+  std::vector<member> strong;
+  std::copy_if(members.begin(), members.end(), std::back_inserter(strong),
+               [strongest](const member& host) {
+                 return host.processor_share >= strongest * kLeastPartOfStrongest;
+               });
+  const bool suffices = strong.size() >= kLeastStrongHosts &&
+                        ProcessorShareOf(strong) >= fleet_share * kLeastPartOfFleet;
+  return suffices ? strong : members;
+}
+
 double MeanPerDataCentre(const std::vector<member>& members) {
   return static_cast<double>(members.size()) /
          static_cast<double>(std::max<std::size_t>(1, DataCentresOf(members).size()));
@@ -81,7 +110,8 @@
   if (chosen.empty()) {
     chosen = InState(members, member_state::suspect);
   }
-  return StrongestOfEach(chosen, most_in_use);
+  const int fleet_share = ProcessorShareOf(chosen);
+  return WithoutWeak(StrongestOfEach(chosen, most_in_use), fleet_share);
 }
 
 std::vector<member> ChooseHosts(const std::vector<member>& members,
--- a/src/liblimpetlever/membership/host_choice.h
+++ b/src/liblimpetlever/membership/host_choice.h
@@ -24,7 +24,8 @@
 
 /**
  * The hosts that callers are sent to: those that are alive, or suspected if none is, and of a
- * larger fleet those with the most processor time in each data centre, `most_in_use` in all.
+ * larger fleet those with the most processor time in each data centre, `most_in_use` in all. Hosts
+ * that are much weaker than the strongest are left out where the others suffice.
  */
 std::vector<member> HostsInUse(const std::vector<member>& members, std::size_t most_in_use);
 
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -122,6 +122,7 @@
                       std::move(sockets.metrics),
                       [this](const auto& caller) { HandleMetrics(caller); }),
       fleet_size_(kFleetSizeMemory),
+      hosts_in_use_(kFleetSizeMemory),
       source_(settings_.name, settings_.data_centre),
       started_(loop_.Now()) {
   if (sockets.directory.is_open()) {
@@ -169,10 +170,10 @@
     return host.state != member_state::dead;
   });
   metrics_.SetPeers(static_cast<double>(hosts));
-  UseRetryShare(members, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
+  const auto in_use = HostsInUse(members, MostHostsInUse());
+  UseRetryShare(in_use, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
   if (query_.table()) {
-    const auto in_use = std::min<std::size_t>(static_cast<std::size_t>(hosts), MostHostsInUse());
-    pools_.UseLimits(*query_.table(), static_cast<int>(in_use));
+    pools_.UseLimits(*query_.table(), static_cast<int>(in_use.size()));
   }
 }
 
@@ -197,12 +198,11 @@
   feed_.UseSource(host == members.end() ? std::nullopt : ParseSocketAddress(host->peer_address));
 }
 
-void node_server::UseRetryShare(const std::vector<member>& members, int fleet_size) {
-  const auto most = static_cast<int>(MostHostsInUse());
+void node_server::UseRetryShare(const std::vector<member>& in_use, int fleet_size) {
+  const int most = hosts_in_use_.Update(static_cast<int>(in_use.size()), loop_.Now());
   double part = 1.0;
   int sharing = fleet_size;
   if (fleet_size > most) {
-    const auto in_use = HostsInUse(members, MostHostsInUse());
     const bool is_used = std::any_of(in_use.begin(), in_use.end(), [this](const member& host) {
       return host.name == settings_.name;
     });
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -57,7 +57,7 @@
   /** Chooses from whom this host learns of changes, and whether it relays them. */
   void UseSource(const char* cause);
   /** Takes this host's share of the extra attempts of a fleet of `fleet_size` hosts. */
-  void UseRetryShare(const std::vector<member>& members, int fleet_size);
+  void UseRetryShare(const std::vector<member>& in_use, int fleet_size);
   /** By the service that accepts the fewest connections. */
   std::size_t MostHostsInUse() const;
   void Leave();
@@ -94,6 +94,7 @@
   http_server metrics_server_;
   std::unique_ptr<http_server> directory_;
   recent_maximum fleet_size_;
+  recent_maximum hosts_in_use_;
   source_choice source_;
   instant started_;
   bool is_leaving_ = false;
--- a/tests/membership/test_host_choice.cc
+++ b/tests/membership/test_host_choice.cc
@@ -81,6 +81,25 @@
   cr_assert(MostHostsInUse(3) >= 12);
 }
 
+// Guards against callers of a fleet with some strong hosts that wait for its weak ones; and against
+// a few strong hosts that get the work of a fleet that they cannot bear.
+Test(host_choice, weak_hosts_are_not_used_where_strong_ones_suffice) {
+  auto hosts = Hosts({20, 20});
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].processor_share = i % 10 == 0 ? 500 : 84;
+  }
+  cr_assert(ChooseHosts(hosts, "d0", kAll).size() == 2);
+  cr_assert(HostsInUse(hosts, kAll).size() == 4);
+  hosts[0].state = member_state::dead;
+  // Three are too few to lose one, so that all hosts are used.
+  cr_assert(HostsInUse(hosts, kAll).size() == hosts.size() - 1);
+  hosts[0].state = member_state::alive;
+  for (member& host : hosts) {
+    host.processor_share = host.processor_share == 84 ? 240 : 500;
+  }
+  cr_assert(HostsInUse(hosts, kAll).size() == hosts.size(), "four of forty are too weak");
+}
+
 // Guards against a processor share that is lost between hosts, and against entries of hosts that do
 // not state it.
 Test(member_entry, the_processor_share_is_optional) {
