Query: a request that crashes servers is stopped on all hosts

Ruled out: a lost connection as a sign (resets and lost answers are ordinary troubles); the path alone as fingerprint (callers share paths). Change: requests that were in flight when a connection was lost are suspected once their server refuses connections, leaves, or runs anew within 4 s (lost_requests); crash_guard blocks at two servers; notes go to all hosts at once. The fingerprint is method, host, path, caller's address and body. Measured: tests/node a_request_that_crashes_servers_is_stopped fails without the block.

--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -98,6 +98,8 @@
       return "caller_left";
     case event_number::foreign_answer_dropped:
       return "foreign_answer_dropped";
+    case event_number::crash_suspected:
+      return "crash_suspected";
     case event_number::config_adopted:
       return "config_adopted";
     case event_number::config_refused:
@@ -179,6 +181,7 @@
       event_number::attempt_repeated,
       event_number::caller_left,
       event_number::foreign_answer_dropped,
+      event_number::crash_suspected,
       event_number::config_adopted,
       event_number::config_refused,
       event_number::replica_changed,
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -60,6 +60,7 @@
   attempt_repeated = 913,
   caller_left = 914,
   foreign_answer_dropped = 915,
+  crash_suspected = 916,
   config_adopted = 920,
   config_refused = 921,
   replica_changed = 922,
--- a/src/limpetlever/net/server_connection.cc
+++ b/src/limpetlever/net/server_connection.cc
@@ -79,6 +79,13 @@
   }
 }
 
+const std::string& server_connection::peer_ip() {
+  if (peer_ip_.empty()) {
+    peer_ip_ = PeerIp(socket_.fd());
+  }
+  return peer_ip_;
+}
+
 void server_connection::Answer(std::string_view head, std::string_view body, bool is_last) {
   if (!is_open_ || !is_waiting_) {
     return;
--- a/src/limpetlever/net/server_connection.h
+++ b/src/limpetlever/net/server_connection.h
@@ -22,6 +22,8 @@
 
   /** The request that waits for its answer. */
   http_message& request() { return reader_.message(); }
+  /** The caller's address, without the port. */
+  const std::string& peer_ip();
   /** When the last byte of the request was read. */
   instant request_time() const { return request_time_; }
   /**
@@ -53,6 +55,8 @@
   http_reader reader_;
   /** Bytes of later requests, read while one waits for its answer. */
   std::string pending_;
+  /** Empty until it is asked for. */
+  std::string peer_ip_;
   std::function<void()> on_caller_left_;
   instant request_time_;
   instant last_activity_;
--- a/src/limpetlever/net/socket.cc
+++ b/src/limpetlever/net/socket.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <string>
@@ -142,4 +143,17 @@
   SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+socket_address FromSockaddr(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> ip{};
+  inet_ntop(AF_INET, &address.sin_addr, ip.data(), ip.size());
+  return {.ip = ip.data(), .port = ntohs(address.sin_port)};
+}
+
+std::string PeerIp(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  const bool is_known = getpeername(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  return is_known ? FromSockaddr(address).ip : std::string();
+}
+
 }  // namespace limpetlever
--- a/src/limpetlever/net/socket.h
+++ b/src/limpetlever/net/socket.h
@@ -7,6 +7,8 @@
 #include "base/socket_address.h"
 #include "base/time_types.h"
 
+struct sockaddr_in;
+
 namespace limpetlever {
 
 /** Owns a file descriptor of a non-blocking socket. */
@@ -42,6 +44,12 @@
 /** Probes an idle connection, so that one that has gone silent ends within about 3 s. */
 void SetKeepAliveProbes(int fd);
 
+/** The address in the form of the project. */
+socket_address FromSockaddr(const sockaddr_in& address);
+
+/** The IP address of a connected peer; empty if the connection has ended. */
+std::string PeerIp(int fd);
+
 }  // namespace limpetlever
 
 #endif  // LIMPETLEVER_NET_SOCKET_H_
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -10,6 +10,7 @@
 
 #include "base/hash.h"
 #include "config/route_table.h"
+#include "limits/crash_note.h"
 #include "membership/host_choice.h"
 #include "net/http_text.h"
 #include "net/server_connection.h"
@@ -132,6 +133,9 @@
   }
   UseSettings(settings_);
   peers_.OnChange([this] { UseShares(); });
+  peers_.OnCrashNote([this](const crash_note& note) { query_.TakeCrashNote(note); });
+  query_.OnCrashNote([this](const crash_note& note) { peers_.TellCrashNote(note); });
+  pools_.OnRefused([this](const std::string& id) { query_.OnReplicaDead(id); });
   peers_.OnRejoin([this] { registration_.Replace(platform::EncodeHost(peers_.SelfEntry())); });
   loop_.OnSignal(SIGTERM, [this] { Leave(); });
   loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
@@ -346,6 +350,10 @@
 }
 
 void node_server::OnReplica(const replica& stated) {
+  const auto known = replicas_.Find(stated.id);
+  if (known && known->stated.started_ms != stated.started_ms) {
+    query_.OnReplicaDead(stated.id);
+  }
   if (replicas_.Put(stated, loop_.Now())) {
     log_.Record(event_number::replica_changed,
                 {{"replica", stated.id},
@@ -358,6 +366,7 @@
 
 void node_server::OnReplicaRemoved(const std::string& id) {
   if (replicas_.Remove(id)) {
+    query_.OnReplicaDead(id);
     log_.Record(event_number::replica_removed, {{"replica", id}});
   }
 }
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -4,10 +4,10 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <array>
 #include <utility>
 
 #include "base/socket_address.h"
+#include "limits/crash_note.h"
 #include "membership/member_entry.h"
 #include "net/event_loop.h"
 #include "node/log_writer.h"
@@ -37,12 +37,6 @@
   return address.ip + ":" + std::to_string(address.port);
 }
 
-socket_address FromSockaddr(const sockaddr_in& from) {
-  std::array<char, INET_ADDRSTRLEN> ip{};
-  inet_ntop(AF_INET, &from.sin_addr, ip.data(), ip.size());
-  return {.ip = ip.data(), .port = ntohs(from.sin_port)};
-}
-
 }  // namespace
 
 peer_service::peer_service(event_loop& loop,
@@ -187,6 +181,12 @@
 
 void peer_service::TakeUpdates(const std::vector<gossip_entry>& updates) {
   for (const gossip_entry& entry : updates) {
+    if (const auto note = CrashNoteOf(entry)) {
+      if (on_crash_note_) {
+        on_crash_note_(*note);
+      }
+      continue;
+    }
     RejoinIfOutdated(entry);
     tracker_.TakeEntry(entry, loop_.Now());
   }
@@ -254,6 +254,14 @@
   return newest_heard_ > revision_ && loop_.Now() - behind_since_ > kBehindTime;
 }
 
+void peer_service::TellCrashNote(const crash_note& note) {
+  for (const member& host : tracker_.Members()) {
+    if (host.name != self_.name && host.state != member_state::dead) {
+      Send(host.peer_address, {.kind = peer_message::kind_type::news, .updates = {ToGossip(note)}});
+    }
+  }
+}
+
 void peer_service::Advance() {
   const instant now = loop_.Now();
   const auto next = tracker_.NextTimer();
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -20,6 +20,7 @@
 
 class event_loop;
 class log_writer;
+struct crash_note;
 
 /** Probes other hosts by datagrams and keeps member_tracker's view of them. */
 class peer_service : public io_watch::handler {
@@ -42,6 +43,12 @@
    * name with a greater one, from a clock that was ahead.
    */
   void OnRejoin(std::function<void()> call) { on_rejoin_ = std::move(call); }
+  /** Called with what another host tells of a request that crashes servers. */
+  void OnCrashNote(std::function<void(const crash_note&)> call) {
+    on_crash_note_ = std::move(call);
+  }
+  /** Tells all hosts at once: the next run of the request may crash another server. */
+  void TellCrashNote(const crash_note& note);
   void Leave();
   /** The store's revision that this host tells the others. */
   void SetRevision(std::int64_t revision);
@@ -85,6 +92,7 @@
   std::map<std::uint64_t, relayed_probe> relayed_;
   std::function<void()> on_change_;
   std::function<void()> on_rejoin_;
+  std::function<void(const crash_note&)> on_crash_note_;
   std::uint64_t next_relayed_;
   std::uint64_t seen_changes_ = 0;
   instant started_;
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
 #include "config/route_table.h"
 #include "net/event_loop.h"
 #include "node/log_writer.h"
@@ -24,9 +25,24 @@
 constexpr duration kRetryAfter = std::chrono::milliseconds(150);
 // What a server is given less than the caller waits, so that its answer still arrives in time.
 constexpr duration kDeadlineMargin = std::chrono::milliseconds(5);
+// Requests that may crash servers are rare; each entry takes about 100 bytes.
+constexpr std::size_t kMostFingerprints = 512;
 // An attempt that lost a race may end by itself for so long, which keeps its connection.
 constexpr duration kAbandonedTime = std::chrono::milliseconds(300);
 
+/** The same for a request that comes again: route, path, caller and body. */
+std::uint64_t FingerprintOf(server_connection& caller) {
+  const http_message& request = caller.request();
+  std::uint64_t value = Combine(Hash(request.Find("Host")), Hash(request.target));
+  value = Combine(value, Hash(request.method));
+  value = Combine(value, Hash(caller.peer_ip()));
+  return Combine(value, Hash(request.body));
+}
+
+wall_time WallNow() {
+  return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+}
+
 }  // namespace
 
 query_service::query_service(event_loop& loop,
@@ -39,7 +55,8 @@
       pools_(pools),
       log_(log),
       metrics_(metrics),
-      state_{.replicas = replicas, .random = random_source(seed)} {}
+      state_{.replicas = replicas, .random = random_source(seed)},
+      crash_guard_(kMostFingerprints) {}
 
 duration query_service::RetryAfter() {
   return kRetryAfter + duration(static_cast<std::int64_t>(
@@ -77,11 +94,17 @@
     Refuse(caller, kBadRequest, "no_request_id", terms.request_id);
     return;
   }
+  const std::uint64_t fingerprint = FingerprintOf(*caller);
+  if (crash_guard_.IsBlocked(fingerprint, WallNow())) {
+    Refuse(caller, kUnavailable, "crashes_servers", terms.request_id);
+    return;
+  }
   const instant now = loop_.Now();
   const duration wait = std::min(terms.time_left.value_or(path->timeout), path->timeout);
   auto query = std::make_shared<running_query>(
       running_query{.caller = caller,
                     .request_id = std::move(terms.request_id),
+                    .fingerprint = fingerprint,
                     .writer = platform::replica_request_writer(request),
                     .plan = query_plan(table_, *path, state_, now, now + wait),
                     .started = now});
@@ -177,6 +200,9 @@
                                              {"cause", ToString(failure)},
                                              {"status", 0},
                                              {"after_ms", loop_.Now() - query->started}});
+  if (failure == attempt_failure::connection_lost) {
+    lost_.Add(target->stated.id, query->fingerprint, loop_.Now());
+  }
   query->attempts[attempt] = nullptr;
   query_plan::action_list actions;
   query->plan.OnFailure(attempt, failure, loop_.Now(), actions);
@@ -190,6 +216,9 @@
   auto& outcome = query->plan.outcome();
   if (outcome.HasAnswer()) {
     query->give_up_at += kAbandonedTime;
+    if (const auto note = crash_guard_.OnCompleted(query->fingerprint, WallNow())) {
+      TellCrashNote(*note);
+    }
   }
   const int missing = outcome.missing_parts;
   const route& path = query->plan.path();
@@ -215,6 +244,29 @@
   query->caller.reset();
 }
 
+void query_service::TellCrashNote(const crash_note& note) {
+  log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(note.fingerprint)},
+                                              {"replica", note.server},
+                                              {"source", "own"}});
+  if (on_crash_note_) {
+    on_crash_note_(note);
+  }
+}
+
+void query_service::TakeCrashNote(const crash_note& note) {
+  log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(note.fingerprint)},
+                                              {"replica", note.server},
+                                              {"source", "peer"}});
+  crash_guard_.Merge(note, WallNow());
+}
+
+void query_service::OnReplicaDead(const std::string& id) {
+  for (const crash_note& note :
+       crash_guard_.OnDeath(id, lost_.TakeOf(id, loop_.Now()), WallNow())) {
+    TellCrashNote(note);
+  }
+}
+
 void query_service::OnCallerLeft(const query_ptr& query) {
   if (std::exchange(query->is_answered, true)) {
     return;
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -3,8 +3,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
+#include "limits/crash_guard.h"
+#include "limits/lost_requests.h"
 #include "node/running_query.h"
 #include "query/query_state.h"
 
@@ -31,6 +36,15 @@
   const std::shared_ptr<const route_table>& table() const { return table_; }
   void UseRetryTerms(const retry_terms& terms) { state_.terms = terms; }
 
+  /** Called with what other hosts should know of requests that crash servers. */
+  void OnCrashNote(std::function<void(const crash_note&)> call) {
+    on_crash_note_ = std::move(call);
+  }
+  /** Takes over what another host knows. */
+  void TakeCrashNote(const crash_note& note);
+  /** The backend server refuses connections, has left or runs anew. */
+  void OnReplicaDead(const std::string& id);
+
   /** Takes one request of a caller. */
   void Handle(const std::shared_ptr<server_connection>& caller);
   std::size_t running_count() const { return running_; }
@@ -47,6 +61,7 @@
   bool OnResponse(const query_ptr& query, std::uint32_t attempt, http_message& response);
   void OnFailure(const query_ptr& query, std::uint32_t attempt, attempt_failure failure);
   void Answer(const query_ptr& query);
+  void TellCrashNote(const crash_note& note);
   void OnCallerLeft(const query_ptr& query);
   /** Ends all attempts under way, with their connections. */
   void CancelAttempts(const query_ptr& query);
@@ -60,6 +75,9 @@
   query_state state_;
   std::shared_ptr<const route_table> table_;
   std::size_t running_ = 0;
+  crash_guard crash_guard_;
+  lost_requests lost_;
+  std::function<void(const crash_note&)> on_crash_note_;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -26,8 +26,9 @@
 
 replica_pool::replica_pool(event_loop& loop,
                            node_metrics& metrics,
-                           std::shared_ptr<replica_record> target)
-    : loop_(loop), metrics_(metrics), target_(std::move(target)) {}
+                           std::shared_ptr<replica_record> target,
+                           const std::function<void(const std::string&)>& on_refused)
+    : loop_(loop), metrics_(metrics), target_(std::move(target)), on_refused_(on_refused) {}
 
 replica_pool::~replica_pool() = default;
 
@@ -140,7 +141,13 @@
   }
   if (reason == http_client::end_reason::not_connected) {
     target_->load.OnUnreachable(loop_.Now());
+    if (on_refused_) {
+      on_refused_(target_->stated.id);
+    }
     FailWaiting(connections_.size());
+  } else if (attempt && connections_.empty() && target_->is_usable) {
+    // Tells whether the server has died, and is ready for the next attempt if not.
+    Open();
   }
   Assign();
 }
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "base/time_types.h"
@@ -18,7 +20,11 @@
 /** The connections of this host to one backend server, and the attempts that wait for one. */
 class replica_pool : public http_client::handler {
  public:
-  replica_pool(event_loop& loop, node_metrics& metrics, std::shared_ptr<replica_record> target);
+  /** `on_refused` is called with the server's id when it refuses a connection. */
+  replica_pool(event_loop& loop,
+               node_metrics& metrics,
+               std::shared_ptr<replica_record> target,
+               const std::function<void(const std::string&)>& on_refused);
   ~replica_pool() override;
 
   /** The most connections; fewer take effect as connections end. */
@@ -55,6 +61,7 @@
   event_loop& loop_;
   node_metrics& metrics_;
   const std::shared_ptr<replica_record> target_;
+  const std::function<void(const std::string&)>& on_refused_;
   std::size_t most_connections_ = 1;
   connection_list connections_;
   /** The most urgent first, in the order of arrival. */
--- a/src/limpetlever/node/replica_pools.cc
+++ b/src/limpetlever/node/replica_pools.cc
@@ -50,7 +50,7 @@
 void replica_pools::Send(std::shared_ptr<replica_attempt> attempt) {
   auto& pool = pools_[attempt->target.get()];
   if (!pool) {
-    pool = std::make_unique<replica_pool>(loop_, metrics_, attempt->target);
+    pool = std::make_unique<replica_pool>(loop_, metrics_, attempt->target, on_refused_);
     pool->SetMostConnections(MostConnections(attempt->target->stated.service));
   }
   pool->Send(std::move(attempt));
--- a/src/limpetlever/node/replica_pools.h
+++ b/src/limpetlever/node/replica_pools.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_NODE_REPLICA_POOLS_H_
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -24,6 +25,8 @@
 
   /** The connections that servers accept are shared by `hosts` hosts. */
   void UseLimits(const route_table& table, int hosts);
+  /** Called with the id of a backend server that refuses a connection. */
+  void OnRefused(std::function<void(const std::string&)> call) { on_refused_ = std::move(call); }
   void Send(std::shared_ptr<replica_attempt> attempt);
   void Cancel(const std::shared_ptr<replica_attempt>& attempt);
 
@@ -35,6 +38,7 @@
   node_metrics& metrics_;
   std::unordered_map<const replica_record*, std::unique_ptr<replica_pool>> pools_;
   std::unordered_map<std::string, int> max_connections_;
+  std::function<void(const std::string&)> on_refused_;
   int hosts_ = 1;
   timer_service::timer_id sweep_ = 0;
 };
--- a/src/limpetlever/node/running_query.h
+++ b/src/limpetlever/node/running_query.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETLEVER_NODE_RUNNING_QUERY_H_
 #define LIMPETLEVER_NODE_RUNNING_QUERY_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 struct running_query {
   std::shared_ptr<server_connection> caller;
   std::string request_id;
+  /** The same for a request that its caller sends again. */
+  std::uint64_t fingerprint = 0;
   platform::replica_request_writer writer;
   query_plan plan;
   /** By attempt number; nullptr once the attempt has ended. */
--- /dev/null
+++ b/tests/limits/test_lost_requests.cc
@@ -0,0 +1,25 @@
+#include <criterion/criterion.h>
+
+#include "limits/lost_requests.h"
+
+using namespace limpetlever;
+using std::chrono::seconds;
+
+// Guards against requests that are blamed for the death of another server, or for one that died
+// long after their connection was lost; and against memory that grows while connections are reset.
+Test(lost_requests, only_recent_losses_at_the_dead_server_count) {
+  lost_requests lost;
+  instant now{};
+  lost.Add("a", 1, now);
+  lost.Add("b", 2, now);
+  now += seconds(3);
+  lost.Add("a", 3, now);
+  cr_assert(lost.TakeOf("a", now) == (std::vector<std::uint64_t>{1, 3}));
+  cr_assert(lost.TakeOf("a", now).empty(), "taken once");
+  now += seconds(2);
+  cr_assert(lost.TakeOf("b", now).empty(), "too old");
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    lost.Add("c", i, now);
+  }
+  cr_assert(lost.size() <= 256);
+}
--- a/tests/node/node_world.h
+++ b/tests/node/node_world.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -79,6 +80,9 @@
         if (is_over_) {
           loop.Stop();
         }
+        if (must_restart_servers_.exchange(false)) {
+          RestartCrashed(servers);
+        }
       });
       loop.Run();
     });
@@ -150,6 +154,9 @@
     return cuts_[id];
   }
 
+  /** Starts the servers that a request for ".../poison" has crashed. */
+  void RestartServers() { must_restart_servers_ = true; }
+
   const node_settings& settings() const { return settings_; }
 
  private:
@@ -193,15 +200,52 @@
     const socket_address address = FreeAddress();
     const std::string service = id[0] == 's' ? "single" : std::string("shard-") + id[0];
     auto state = std::make_shared<server_behaviour>(behaviour);
-    servers.push_back(std::make_unique<http_server>(
-        loop, std::move(Listen(address).value()),
-        [this, &loop, id, state](const auto& caller) { Serve(loop, id, *state, caller); }));
+    const std::size_t number = servers.size();
+    const auto start = [this, &loop, &servers, id, state, number, address] {
+      return std::make_unique<http_server>(
+          loop, std::move(Listen(address).value()),
+          [this, &loop, &servers, id, state, number](const auto& caller) {
+            if (caller->request().target.ends_with("/poison")) {
+              Crash(loop, servers, id, number, caller);
+            } else {
+              Serve(loop, id, *state, caller);
+            }
+          });
+    };
+    servers.push_back(start());
+    starts_.push_back(start);
     store.Write("servers/" + id,
                 "{\"service\":\"" + service +
                     "\",\"address\":\"127.0.0.1:" + std::to_string(address.port) +
                     "\",\"zone\":\"dc-a\",\"slots\":2,\"state\":\"ready\",\"born\":1}");
   }
 
+  /** Ends a server as a crash of its process does. */
+  void Crash(event_loop& loop,
+             std::vector<std::unique_ptr<http_server>>& servers,
+             const std::string& id,
+             std::size_t number,
+             const std::shared_ptr<server_connection>& caller) {
+    if (caller->request().Find("Target-Instance") != id) {
+      return;
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      ++runs_[std::string(caller->request().Find("Attempt-Id"))];
+    }
+    servers[number]->StopListening();
+    caller->Abort();
+    loop.Defer([held = std::shared_ptr<http_server>(std::move(servers[number]))] {});
+  }
+
+  void RestartCrashed(std::vector<std::unique_ptr<http_server>>& servers) {
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      if (!servers[i]) {
+        servers[i] = starts_[i]();
+      }
+    }
+  }
+
   void Serve(event_loop& loop,
              const std::string& id,
              server_behaviour& behaviour,
@@ -244,6 +288,8 @@
 
   node_settings settings_;
   socket_address store_address_;
+  std::atomic<bool> must_restart_servers_ = false;
+  std::vector<std::function<std::unique_ptr<http_server>()>> starts_;
   std::atomic<bool> is_over_ = false;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
--- a/tests/node/test_node_server.cc
+++ b/tests/node/test_node_server.cc
@@ -83,3 +83,19 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
 }
+
+// Guards against a request that crashes one server after the other: its caller sends it again, and
+// by then two servers have died of it.
+Test(node_server, a_request_that_crashes_servers_is_stopped) {
+  node_world world;
+  world.AwaitReady();
+  cr_assert(world.Ask("GET", "/i/poison", "id-1").status == 502);
+  cr_assert(world.RunsOf("id-1") == 2);
+  world.RestartServers();
+  while (world.Ask("GET", "/i/1", "id-2").status != 200) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const answer again = world.Ask("GET", "/i/poison", "id-3");
+  cr_assert(again.status == 503 && world.RunsOf("id-3") == 0);
+  cr_assert(world.Ask("GET", "/i/2", "id-4").status == 200, "other requests are served");
+}
