--- a/src/liblimpetlever/control/source_choice.cc
+++ b/src/liblimpetlever/control/source_choice.cc
@@ -20,7 +20,7 @@
 // seconds and serve the others, which then relay what it says.
 constexpr duration kFailedTime = std::chrono::seconds(15);
 // The name of the key-value service among the sources.
-const std::string kService;
+constexpr const char* kService = "";
 
 }  // namespace
 
