Platform: a load that begins on a failed call is the only one

Cause: found on reading: a host that becomes a relay while a call to the store fails began a load, and then the failure scheduled a second one; pages of the two would mix. Measured: tests/platform a_load_that_begins_on_a_failure_is_the_only_one fails before and passes after.

--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -24,7 +25,11 @@
   void OnRead(const platform::store_item&) override {}
   void OnLoaded(std::int64_t) override { ++loads; }
   void OnRevision(std::int64_t) override {}
-  void OnCallFailed(int) override {}
+  void OnCallFailed(int) override {
+    if (on_failure) {
+      on_failure();
+    }
+  }
   void OnStoreLost(int) override { ++losses; }
   void OnStoreRegained(duration) override { ++returns; }
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
@@ -34,6 +39,7 @@
   int losses = 0;
   int returns = 0;
   int histories_lost = 0;
+  std::function<void()> on_failure;
 };
 
 struct watcher_fixture : loop_fixture {
@@ -105,6 +111,23 @@
   cr_assert(platform::store_watcher::PauseAfter(3) > duration::zero());
 }
 
+// Guards against two loads at once, whose pages mix, when a host becomes a relay just as a call to
+// the store fails.
+Test(store_watcher, a_load_that_begins_on_a_failure_is_the_only_one) {
+  watcher_fixture fixture;
+  fixture.store.SetMode(platform_store::mode_type::busy);
+  fixture.seen.on_failure = [&] {
+    fixture.store.SetMode(platform_store::mode_type::normal);
+    fixture.watcher.Reload();
+  };
+  fixture.watcher.Start();
+  fixture.RunUntil([&] { return fixture.seen.loads == 1; });
+  fixture.store.Write("a", "1");
+  fixture.RunUntil([&] { return fixture.seen.values.contains("a"); });
+  cr_assert(fixture.seen.loads == 1);
+  cr_assert(fixture.store.CallsOf("/kv-range") == 2, "the one that failed and one load");
+}
+
 // Guards against a watch that is ended again and again before its answer can arrive, because other
 // hosts know newer revisions: on a narrow link a page takes a second.
 Test(store_watcher, a_young_watch_is_left_alone) {
