Node: the size of the fleet counts once the view of a starting host is complete

Since the first watch comes later, a starting host learns of the others one by one; as long as it knew fewer than four strong hosts it counted 29 in use, and kept to that share of the extra attempts for 60 s. Change: counts before 2.5 s after the start are not held; the number of hosts in use is held for 20 s, two windows of the bound.

--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -34,14 +34,16 @@
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
 constexpr duration kDrainCheck = std::chrono::milliseconds(100);
 constexpr duration kRevisionCheck = std::chrono::milliseconds(200);
-// How often the source of changes is reviewed beside its failures, and how long a host that starts
-// waits before: its view of the other hosts is complete after some probes.
+// How often the source of changes is reviewed beside its failures.
 constexpr duration kSourceCheck = std::chrono::seconds(1);
-constexpr duration kSourceSettling = std::chrono::milliseconds(2500);
+// After this time the view that a starting host has of the others is complete.
+constexpr duration kSettlingTime = std::chrono::milliseconds(2500);
 // The settings file may change without a signal.
 constexpr duration kSettingsCheck = std::chrono::seconds(2);
 // A host that is cut off keeps to its share for so long: six windows of the bound on retries.
 constexpr duration kFleetSizeMemory = std::chrono::seconds(60);
+// The number of hosts in use changes with the ones chosen, so that it is held for two windows only.
+constexpr duration kHostsInUseMemory = std::chrono::seconds(20);
 // Part of the extra attempts for the hosts that callers are sent to, where a fleet is larger. The
 // others serve callers that keep an old answer.
 constexpr double kPartOfHostsInUse = 0.85;
@@ -123,7 +125,7 @@
                       std::move(sockets.metrics),
                       [this](const auto& caller) { HandleMetrics(caller); }),
       fleet_size_(kFleetSizeMemory),
-      hosts_in_use_(kFleetSizeMemory),
+      hosts_in_use_(kHostsInUseMemory),
       source_(settings_.name, settings_.data_centre),
       started_(loop_.Now()) {
   if (sockets.directory.is_open()) {
@@ -169,6 +171,11 @@
 }
 
 void node_server::UseShares() {
+  if (!HasSettled()) {
+    // A view of the fleet that is still growing says nothing of its size.
+    fleet_size_ = recent_maximum(kFleetSizeMemory);
+    hosts_in_use_ = recent_maximum(kHostsInUseMemory);
+  }
   const auto members = peers_.Members();
   const auto hosts = std::count_if(members.begin(), members.end(), [](const member& host) {
     return host.state != member_state::dead;
@@ -181,8 +188,12 @@
   }
 }
 
+bool node_server::HasSettled() const {
+  return loop_.Now() - started_ >= kSettlingTime;
+}
+
 void node_server::UseSource(const char* cause) {
-  if (loop_.Now() - started_ < kSourceSettling) {
+  if (!HasSettled()) {
     return;
   }
   const auto members = peers_.Members();
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -54,6 +54,8 @@
   void CheckRevision();
   void UseSettings(const node_settings& settings);
   void UseShares();
+  /** Whether this host has run long enough to know the others. */
+  bool HasSettled() const;
   /** Chooses from whom this host learns of changes, and whether it relays them. */
   void UseSource(const char* cause);
   /** Takes this host's share of the extra attempts of a fleet of `fleet_size` hosts. */
