Node: logs the source of a configuration and counts what a relay sends

Cause of this change: config_adopted did not say from where a version came, and nothing showed how much a relay sends, so that a lost change, a follower that changes its source again and again and a relay whose link is full looked the same afterwards. Change: config_adopted names the source; two metrics count the answers and the bytes of a relay.

--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -70,7 +70,13 @@
       hosts_alive_(AddGauge(*registry_, "limpetlever_hosts_alive", "Hosts believed to be alive")),
       log_lines_dropped_(AddGauge(*registry_,
                                   "limpetlever_log_lines_dropped",
-                                  "Log lines dropped since the start")) {}
+                                  "Log lines dropped since the start")),
+      relay_answers_(AddGauge(*registry_,
+                              "limpetlever_relay_answers",
+                              "Answers to hosts that follow this one since the start")),
+      relay_bytes_(AddGauge(*registry_,
+                            "limpetlever_relay_bytes",
+                            "Bytes of the answers to hosts that follow this one")) {}
 
 node_metrics::~node_metrics() = default;
 
@@ -123,6 +129,11 @@
   log_lines_dropped_.Set(count);
 }
 
+void node_metrics::SetRelayed(double answers, double bytes) {
+  relay_answers_.Set(answers);
+  relay_bytes_.Set(bytes);
+}
+
 std::string node_metrics::FormatPrometheusText() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -44,6 +44,8 @@
   void SetLiveHostCount(double count);
   /** Total since the start of the process. */
   void SetDroppedLogLines(double count);
+  /** Answers to hosts that follow this one, and the bytes of their bodies, since the start. */
+  void SetRelayed(double answers, double bytes);
 
   /** All metrics in the Prometheus text format. */
   std::string FormatPrometheusText() const;
@@ -63,6 +65,8 @@
   prometheus::Gauge& backend_servers_;
   prometheus::Gauge& hosts_alive_;
   prometheus::Gauge& log_lines_dropped_;
+  prometheus::Gauge& relay_answers_;
+  prometheus::Gauge& relay_bytes_;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -196,6 +196,10 @@
   return loop_.Now() - started_ >= kViewConvergenceTime;
 }
 
+std::string node_server::CurrentSource() const {
+  return source_.current().empty() ? "store" : source_.current();
+}
+
 void node_server::UpdateSource(const char* cause) {
   if (!IsViewComplete()) {
     return;
@@ -203,13 +207,13 @@
   const auto members = peers_.Members();
   const auto hosts = static_cast<int>(members.size());
   feed_.SetRelaying(!is_leaving_ && source_.ShouldRelay(members));
-  const std::string before = source_.current();
+  const std::string before = CurrentSource();
   const std::string& name = source_.Choose(members, hosts, loop_.Now());
-  if (name == before) {
+  if (CurrentSource() == before) {
     return;
   }
-  log_.Record(event_number::source_chosen, {{"source", name.empty() ? "store" : name},
-                                            {"before", before.empty() ? "store" : before},
+  log_.Record(event_number::source_chosen, {{"source", CurrentSource()},
+                                            {"before", before},
                                             {"cause", cause},
                                             {"revision", feed_.revision()}});
   const auto host = std::find_if(members.begin(), members.end(),
@@ -297,6 +301,9 @@
 void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
   metrics_.SetDroppedLogLines(static_cast<double>(log_.dropped()));
   metrics_.SetBackendServerCount(static_cast<double>(replicas_.size()));
+  const auto& relayed = feed_.relay().reads();
+  metrics_.SetRelayed(static_cast<double>(relayed.answer_count()),
+                      static_cast<double>(relayed.answer_bytes()));
   std::string head;
   AppendStatusLine(head, kOk);
   AppendField(head, "Content-Type", "text/plain; version=0.0.4");
@@ -353,7 +360,8 @@
   }
   log_.Record(event_number::config_adopted, {{"version", table->version()},
                                              {"before", current ? current->version() : 0},
-                                             {"routes", table->routes().size()}});
+                                             {"routes", table->routes().size()},
+                                             {"source", CurrentSource()}});
   metrics_.SetConfigVersion(static_cast<double>(table->version()));
   callers_.SetLimits(table->limits());
   query_.SetRouteTable(std::move(table));
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -66,6 +66,8 @@
    * it relays them. `cause` goes into the log.
    */
   void UpdateSource(const char* cause);
+  /** The name of the host that this one follows, or "store". */
+  std::string CurrentSource() const;
   /** Sets this host's share of the retry budget of a fleet of `fleet_size` hosts. */
   void UpdateRetryShare(const std::vector<member>& in_use, int fleet_size);
   /**
