Store: a page that is arriving is not given up

Cause: a call for a page ended after 1 s, whatever had arrived. A page of 1 MB on a link of 17 Mbit/s that is shared takes longer, so the load began again and never ended, and the host stayed without changes or without a configuration. Measured: store_watcher::a_load_over_a_slow_link_is_not_abandoned did not end within 60 s before and passes.

--- a/src/limpetlever/net/http_client.cc
+++ b/src/limpetlever/net/http_client.cc
@@ -54,6 +54,7 @@
 
 void http_client::Send(std::string_view request, bool is_head) {
   is_busy_ = true;
+  last_received_.reset();
   reader_.Next();
   reader_.ExpectNoBody(is_head);
   socket_.Write(request);
@@ -80,6 +81,7 @@
     End(end_reason::unexpected_bytes);
     return;
   }
+  last_received_ = loop_.Now();
   while (!bytes.empty()) {
     bytes.remove_prefix(reader_.Feed(bytes));
     if (reader_.current() == http_reader::state::reading) {
--- a/src/limpetlever/net/http_client.h
+++ b/src/limpetlever/net/http_client.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_NET_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -66,6 +67,8 @@
   bool IsReusable() const { return is_reusable_; }
   /** When the connection was opened or the last response arrived. */
   instant last_used() const { return last_used_; }
+  /** When bytes of the response in progress last arrived; nullopt before the first ones. */
+  std::optional<instant> last_received() const { return last_received_; }
   /** How long the server keeps an idle connection open; zero if it did not state that. */
   duration idle_timeout() const { return idle_timeout_; }
 
@@ -87,6 +90,7 @@
   bool is_reusable_ = true;
   bool is_ended_ = false;
   instant last_used_;
+  std::optional<instant> last_received_;
   duration idle_timeout_{};
 };
 
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -6,6 +6,7 @@
 
 #include "loop_fixture.h"
 #include "platform/store_watcher.h"
+#include "slow_link.h"
 
 using namespace limpetlever;
 using platform::platform_store;
@@ -42,6 +43,10 @@
   std::function<void()> on_failure;
 };
 
+// Four times the time limit of a call to the store.
+constexpr std::size_t kSlowBytesPerSecond = 100 * 1024;
+constexpr std::size_t kLargeValueBytes = 300 * 1024;
+
 struct watcher_fixture : loop_fixture {
   watcher_fixture() : watcher(loop, store.address(), 1, recorded) {}
 
@@ -141,6 +146,18 @@
   cr_assert(fixture.store.CallCount("/kv-watch") == 1);
 }
 
+// Guards against a load that never ends: its pages take longer than the time limit of a call.
+Test(store_watcher, a_load_over_a_slow_link_is_not_abandoned) {
+  loop_fixture fixture;
+  recorder recorded;
+  slow_link link(fixture.loop, fixture.store.address(), kSlowBytesPerSecond);
+  platform::store_watcher watcher(fixture.loop, link.address(), 1, recorded);
+  fixture.store.Write("large", std::string(kLargeValueBytes, 'x'));
+  watcher.Start();
+  fixture.RunUntil([&] { return recorded.loads == 1; });
+  cr_assert(fixture.store.CallCount("/kv-range") == 1 && recorded.stores_lost == 0);
+}
+
 // Guards against removals that are missed when the store has dropped its history.
 Test(store_watcher, reads_everything_again_after_lost_history) {
   watcher_fixture fixture;
