Relay: a page of changes does not end within a revision

Cause: an answer with 500 changes ended at the 500th, and its follower continued after that revision. Changes of the same revision that came after the 500th, as in a write of several keys, were never sent.

--- a/tests/platform/test_store_copy.cc
+++ b/tests/platform/test_store_copy.cc
@@ -44,3 +44,23 @@
   const auto page = DecodePage(copy.EncodeChanges("", 0).value());
   cr_assert(page && page->items.size() == 2);
 }
+
+// Guards against a change that a follower never gets: the page of changes ended within a revision,
+// and the next one began after it.
+Test(store_copy, a_revision_is_not_split_over_two_pages) {
+  store_copy copy(store_copy::history_type::last_of_key, kPageItems, kHistoryBytes);
+  constexpr int kKeysOfOneRevision = 7;
+  constexpr int kKeys = 1505;
+  for (int i = 0; i < kKeys; ++i) {
+    copy.Apply({.key = "key" + std::to_string(i), .revision = 1 + i / kKeysOfOneRevision});
+  }
+  copy.SetRevision(1 + kKeys / kKeysOfOneRevision);
+  std::size_t read = 0;
+  std::int64_t revision = 0;
+  while (const auto changes = copy.EncodeChanges("", revision)) {
+    const auto page = DecodePage(*changes);
+    read += page->items.size();
+    revision = page->revision;
+  }
+  cr_assert(read == kKeys, "%zu of %d changes were read", read, kKeys);
+}
