Relay: an older change does not replace a newer item

Cause: the watch of a relay begins at the revision of the first page of its load, and so reports changes again that later pages already contain. The copy took each of them, so that for a moment it held an older version of the configuration, which a host that started then adopted.

--- a/tests/platform/test_store_copy.cc
+++ b/tests/platform/test_store_copy.cc
@@ -64,3 +64,22 @@
   }
   cr_assert(read == kKeys, "%zu of %d changes were read", read, kKeys);
 }
+
+// Guards against a relay that serves an older version to a host that has just started: the watch of
+// the relay begins before the load and reports changes that the load already contains.
+Test(store_copy, an_older_change_does_not_replace_a_newer_item) {
+  store_copy copy(store_copy::history_type::last_of_key, kPageItems, kHistoryBytes);
+  copy.Apply({.key = "config", .value = "new", .revision = 9});
+  copy.SetRevision(7);
+  copy.DropHistory();
+  copy.Apply({.key = "config", .value = "old", .revision = 8});
+  copy.SetRevision(8);
+  const auto page = DecodePage(copy.EncodeRange("", ""));
+  cr_assert(page && page->items.size() == 1 && page->items[0].value == "new");
+  copy.Apply({.key = "config", .revision = 8, .is_removed = true});
+  cr_assert(copy.items().contains("config"));
+  copy.Apply({.key = "config", .value = "new", .revision = 9});
+  copy.SetRevision(9);
+  const auto changes = DecodePage(copy.EncodeChanges("", 7).value());
+  cr_assert(changes && changes->items.size() == 1 && changes->items[0].value == "new");
+}
