Node: a lost request waits until it is known whether its server has crashed

Cause: a host looked for a crash only if the connection with the request was the last one to the server that ended; with idle connections open nothing was noticed. And the request was sent to the next server about 2 ms before the crash could be known, so that one query over shards crashed both servers of each shard. Ruled out: a lost connection as evidence, since servers also reset connections without a crash; asking the guard on arrival only, since a query goes on by itself. Change: a lost attempt is reported as failed once a connection to its server is open, opened or refused (5 ms, or one round trip); the guard is asked before each further attempt, and a blocked query sends none.

--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -310,7 +310,7 @@
                        instant now,
                        action_list& actions) {
   shard_state& shard = shards_[shard_index];
-  if (shard.sends < kMaxSendsPerShard && now < deadline_) {
+  if (may_retry_ && shard.sends < kMaxSendsPerShard && now < deadline_) {
     // A request that never reached a server adds no load when it is sent again, so that it needs no
     // retry budget.
     const bool is_allowed =
@@ -329,7 +329,7 @@
 void query_plan::Hedge(std::size_t shard_index, instant now, action_list& actions) {
   shard_state& shard = shards_[shard_index];
   shard.is_hedged = true;
-  if (static_cast<int>(shard.tried.size()) >= route_.max_attempts) {
+  if (!may_retry_ || static_cast<int>(shard.tried.size()) >= route_.max_attempts) {
     return;
   }
   const auto target = ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_,
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -54,6 +54,11 @@
   void OnCancelled(std::uint32_t attempt, instant now);
   /** Sends due hedges and ends the query when it is due; to be called at NextTimer(). */
   void OnTimer(instant now, action_list& actions);
+  /**
+   * Allows no further attempt: the request crashes the servers that run it. Open attempts may still
+   * answer.
+   */
+  void ForbidRetries() { may_retry_ = false; }
   /** When OnTimer must be called next; nullopt once the query has ended. */
   std::optional<instant> NextTimer() const;
 
@@ -128,6 +133,7 @@
   std::vector<replica_reply> parts_;
   std::optional<replica_reply> last_refusal_;
   bool may_have_run_ = false;
+  bool may_retry_ = true;
   bool is_done_ = false;
   int answered_ = 0;
   int lost_ = 0;
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -151,6 +151,9 @@
   attempt->on_response = [this, query, number = action.attempt](http_message& response) {
     return OnResponse(query, number, response);
   };
+  attempt->on_lost = [this, fingerprint = query->fingerprint, id = action.target->registered.id] {
+    lost_requests_.Add(id, fingerprint, loop_.Now());
+  };
   attempt->on_failure = [this, query, number = action.attempt](attempt_failure failure) {
     OnFailure(query, number, failure);
   };
@@ -187,6 +190,7 @@
                                                {"after_ms", loop_.Now() - query->started}});
   }
   query->attempts[attempt] = nullptr;
+  CheckBlocked(query);
   query_plan::action_list actions;
   query->plan.OnReply(attempt, std::move(reply), loop_.Now(), actions);
   Execute(query, actions);
@@ -204,10 +208,8 @@
                                              {"cause", ToString(failure)},
                                              {"status", 0},
                                              {"after_ms", loop_.Now() - query->started}});
-  if (failure == attempt_failure::connection_lost) {
-    lost_requests_.Add(target->registered.id, query->fingerprint, loop_.Now());
-  }
   query->attempts[attempt] = nullptr;
+  CheckBlocked(query);
   query_plan::action_list actions;
   query->plan.OnFailure(attempt, failure, loop_.Now(), actions);
   Execute(query, actions);
@@ -248,6 +250,12 @@
   query->caller.reset();
 }
 
+void query_service::CheckBlocked(const query_ptr& query) {
+  if (crash_guard_.IsBlocked(query->fingerprint, WallNow())) {
+    query->plan.ForbidRetries();
+  }
+}
+
 void query_service::PublishCrashReport(const crash_report& report) {
   log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(report.fingerprint)},
                                               {"replica", report.server},
@@ -317,6 +325,7 @@
       CancelAttempts(query);
       return;
     }
+    CheckBlocked(query);
     query_plan::action_list actions;
     query->plan.OnTimer(now, actions);
     Execute(query, actions);
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -72,6 +72,8 @@
   bool OnResponse(const query_ptr& query, std::uint32_t attempt, http_message& response);
   void OnFailure(const query_ptr& query, std::uint32_t attempt, attempt_failure failure);
   void Answer(const query_ptr& query);
+  /** Stops further attempts if the request is known to crash servers. */
+  void CheckBlocked(const query_ptr& query);
   /** Logs a report of this host and passes it to the other hosts. */
   void PublishCrashReport(const crash_report& report);
   void OnCallerDisconnected(const query_ptr& query);
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -27,7 +27,12 @@
   instant deadline;
   /** Called with a complete response; returns false if it answers another request. */
   std::function<bool(http_message&)> on_response;
-  /** Called if the attempt fails. Neither function is called after Cancel. */
+  /**
+   * Called when the connection is lost while the server may be running the request, before it is
+   * known whether the server has crashed; `on_failure` follows.
+   */
+  std::function<void()> on_lost;
+  /** Called if the attempt fails. No function is called after Cancel. */
   std::function<void(attempt_failure)> on_failure;
   /** The connection on which it was sent; nullptr while it waits for one. */
   http_client* connection = nullptr;
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -19,6 +19,8 @@
 // A server accepts within one round trip and its handshake of 6 ms; one that takes longer than this
 // counts as unreachable.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
+// All connections to a crashed server end within a round trip, which takes up to 3 ms.
+constexpr duration kCrashCheckDelay = std::chrono::milliseconds(5);
 // Fraction of the server's idle timeout after which this host closes a connection. Near the full
 // timeout a request could be sent while the server is closing the connection.
 constexpr double kIdleTimeoutFraction = 0.7;
@@ -32,7 +34,9 @@
                            const std::function<void(const std::string&)>& on_refused)
     : loop_(loop), metrics_(metrics), target_(std::move(target)), on_refused_(on_refused) {}
 
-replica_pool::~replica_pool() = default;
+replica_pool::~replica_pool() {
+  loop_.timers().Cancel(crash_check_);
+}
 
 void replica_pool::Send(std::shared_ptr<replica_attempt> attempt) {
   const auto position =
@@ -106,6 +110,7 @@
 
 void replica_pool::OnConnected(http_client&) {
   target_->load.OnReachable();
+  FailLost();
   AssignAttempts();
 }
 
@@ -136,24 +141,50 @@
   }
   const auto attempt = std::exchange(item->attempt, nullptr);
   CloseConnection(item);
-  if (attempt) {
-    attempt->on_failure(reason == http_client::end_reason::malformed
-                            ? attempt_failure::malformed_answer
-                            : attempt_failure::connection_lost);
+  if (attempt && reason == http_client::end_reason::malformed) {
+    attempt->on_failure(attempt_failure::malformed_answer);
+  } else if (attempt) {
+    attempt->on_lost();
+    lost_.push_back(attempt);
   }
   if (reason == http_client::end_reason::not_connected) {
     target_->load.OnUnreachable(loop_.Now());
     if (on_refused_) {
       on_refused_(target_->registered.id);
     }
+    FailLost();
     FailWaiting(connections_.size());
-  } else if (attempt && connections_.empty() && target_->is_usable) {
-    // Shows whether the server has crashed; if not, the connection serves the next attempt.
-    OpenConnection();
+  }
+  if (!lost_.empty()) {
+    CheckForCrash();
   }
   AssignAttempts();
 }
 
+void replica_pool::CheckForCrash() {
+  if (!target_->is_usable) {
+    FailLost();
+  } else if (connections_.empty()) {
+    // Refused if the server has crashed; if not, the connection serves the next attempt.
+    OpenConnection();
+  } else if (crash_check_ == 0) {
+    crash_check_ = loop_.timers().Subscribe(loop_.Now() + kCrashCheckDelay, [this](instant) {
+      crash_check_ = 0;
+      const bool is_open = std::any_of(connections_.begin(), connections_.end(),
+                                       [](const auto& item) { return item.client->IsConnected(); });
+      if (is_open) {
+        FailLost();
+      }
+    });
+  }
+}
+
+void replica_pool::FailLost() {
+  for (const auto& attempt : std::exchange(lost_, {})) {
+    attempt->on_failure(attempt_failure::connection_lost);
+  }
+}
+
 void replica_pool::ProbeIfUnreachable() {
   // A connection without a request shows when the server is reachable again, so that no caller's
   // request is risked on it.
@@ -177,6 +208,7 @@
     waiting_.erase(position);
     return;
   }
+  std::erase(lost_, attempt);
   const auto item = std::find_if(connections_.begin(), connections_.end(),
                                  [&attempt](const auto& held) { return held.attempt == attempt; });
   if (item != connections_.end()) {
@@ -187,7 +219,7 @@
 
 bool replica_pool::IsEmpty() const {
   const bool is_probed = target_->is_usable && target_->load.IsUnreachable();
-  return connections_.empty() && waiting_.empty() && !is_probed;
+  return connections_.empty() && waiting_.empty() && lost_.empty() && !is_probed;
 }
 
 void replica_pool::Sweep() {
@@ -205,6 +237,7 @@
   }
   if (timed_out > 0) {
     target_->load.OnUnreachable(now);
+    FailLost();
     FailWaiting(connections_.size());
   }
   ProbeIfUnreachable();
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -11,6 +11,7 @@
 #include "base/time_types.h"
 #include "net/http_client.h"
 #include "node/replica_attempt.h"
+#include "timer/timer_service.h"
 
 namespace limpetlever {
 
@@ -67,6 +68,13 @@
   void CloseConnection(connection_list::iterator item);
   /** Opens a connection to an unreachable server when its next try is due. */
   void ProbeIfUnreachable();
+  /**
+   * Finds out whether the server has crashed after a connection was lost: the other connections
+   * then end as well, and a new one is refused.
+   */
+  void CheckForCrash();
+  /** Reports the lost attempts, once it is known whether the server has crashed. */
+  void FailLost();
   /** Fails waiting attempts, the last in line first, until `keep` are left. */
   void FailWaiting(std::size_t keep);
   void OnConnected(http_client& client) override;
@@ -79,6 +87,9 @@
   const std::function<void(const std::string&)>& on_refused_;
   std::size_t max_connections_ = 1;
   connection_list connections_;
+  /** Attempts whose connection was lost and that were not reported as failed yet. */
+  std::vector<std::shared_ptr<replica_attempt>> lost_;
+  timer_service::timer_id crash_check_ = 0;
   /** Sorted by priority, the most urgent first, and within a priority by arrival. */
   std::deque<std::shared_ptr<replica_attempt>> waiting_;
 };
--- /dev/null
+++ b/tests/node/test_crashing_requests.cc
@@ -0,0 +1,50 @@
+#include "host_fixture.h"
+
+using namespace limpetlever;
+
+namespace {
+
+/** Restarts the crashed servers and waits until they serve requests again. */
+void Recover(host_fixture& fixture) {
+  fixture.RestartServers();
+  for (int i = 0; fixture.SendRequest("GET", "/i/1", "r" + std::to_string(i)).status != 200 ||
+                  fixture.SendRequest("GET", "/q/1", "q" + std::to_string(i)).status != 200;
+       ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+}  // namespace
+
+// Guards against a crash that goes unnoticed, since other connections to the server were open and
+// ended after the one with the request.
+Test(crashing_requests, is_blocked_if_the_servers_had_idle_connections) {
+  host_fixture fixture({{"s1", {.delay = std::chrono::milliseconds(200)}},
+                        {"s2", {.delay = std::chrono::milliseconds(200)}}});
+  fixture.WaitUntilReady();
+  constexpr int kConcurrentRequests = 16;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kConcurrentRequests; ++i) {
+    callers.emplace_back(
+        [&fixture, i] { fixture.SendRequest("GET", "/i/1", "id-" + std::to_string(i)); });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  fixture.SendRequest("GET", "/i/poison", "poison-1");
+  Recover(fixture);
+  cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-2").status == 503);
+  cr_assert(fixture.RunCount("poison-2") == 0);
+}
+
+// Guards against a query that crashes the servers of all its shards twice: the lost parts are asked
+// for again before it is known that their servers have crashed.
+Test(crashing_requests, is_not_retried_once_two_servers_have_crashed) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  fixture.SendRequest("GET", "/q/poison", "poison-1");
+  cr_assert(fixture.RunCount("poison-1") < 4, "all four servers of the two shards have crashed");
+  Recover(fixture);
+  cr_assert(fixture.SendRequest("GET", "/q/poison", "poison-2").status == 503);
+  cr_assert(fixture.RunCount("poison-2") == 0);
+}
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -314,3 +314,21 @@
   cr_assert(plan->omitted_shards() == 0);
   cr_assert(fixture.Sends(actions).size() == 20);
 }
+
+// Guards against a request that crashes one server after another within one query: it is known to
+// crash servers, but the query goes on to the next ones.
+Test(query_plan, a_forbidden_retry_is_not_sent) {
+  query_fixture fixture(4);
+  fixture.search.min_shard_ratio = 0.5;
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  cr_assert(query_fixture::Sends(actions).size() == 4);
+  plan->ForbidRetries();
+  for (std::uint32_t attempt = 0; attempt < 3; ++attempt) {
+    actions.clear();
+    plan->OnFailure(attempt, attempt_failure::connection_lost, fixture.now, actions);
+    cr_assert(query_fixture::Sends(actions).empty());
+  }
+  cr_assert(plan->IsDone() && plan->outcome().result.state == run_state::may_have_run);
+}
