Node: only a success of all shards clears a request of crashing servers

Cause: any answer with a body counted as a completed run, also the failure of a server that had not run it and an answer without the shards whose servers had crashed. That cleared the request on all hosts, and a completed request gets no mark for ten minutes. Change: a request has completed if a server has answered with success, or all shards have (query_outcome::IsComplete). A request with a mark that only ever gets partial answers keeps the mark; it is blocked only after a second crash.

--- a/src/liblimpetlever/query/query_outcome.h
+++ b/src/liblimpetlever/query/query_outcome.h
@@ -22,6 +22,8 @@
   int missing_shards = 0;
 
   bool HasAnswer() const { return reply.has_value() || !parts.empty(); }
+  /** Whether all servers that the request needs have run it with success. */
+  bool IsComplete() const;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -222,6 +222,8 @@
   auto& outcome = query->plan.outcome();
   if (outcome.HasAnswer()) {
     query->cancel_attempts_at += kAbandonedAttemptTimeout;
+  }
+  if (outcome.IsComplete()) {
     if (const auto report = crash_guard_.OnCompleted(query->fingerprint, WallNow())) {
       PublishCrashReport(*report);
     }
--- a/tests/node/test_crashing_requests.cc
+++ b/tests/node/test_crashing_requests.cc
@@ -48,3 +48,16 @@
   cr_assert(fixture.SendRequest("GET", "/q/poison", "poison-2").status == 503);
   cr_assert(fixture.RunCount("poison-2") == 0);
 }
+
+// Guards against a failure of one server that counts as a completed run, which clears the request
+// of having crashed another one.
+Test(crashing_requests, is_blocked_although_a_server_answered_with_a_failure) {
+  host_fixture fixture({{"s2", {.failures = 1}}});
+  fixture.WaitUntilReady();
+  cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-1").status == 500);
+  Recover(fixture);
+  fixture.SendRequest("GET", "/i/poison", "poison-2");
+  Recover(fixture);
+  cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-3").status == 503);
+  cr_assert(fixture.RunCount("poison-3") == 0);
+}
