Node: a request that was given up on a silent server is suspected as well

Cause: only requests whose connection was lost were suspected. A server that loses power closes nothing: the attempt ends at its caller's deadline, and the crash found later was traced to no request. Change: attempts in flight that this host cancels count as lost, unless their query was answered completely. Measured: crashing_requests::is_blocked_if_the_servers_fell_silent failed before (the third request waits 20 s at both servers) and passes 8 of 8 times.

--- a/src/liblimpetlever/limits/lost_requests.h
+++ b/src/liblimpetlever/limits/lost_requests.h
@@ -11,9 +11,9 @@
 namespace limpetlever {
 
 /**
- * Requests whose connection was lost while a backend server may have been running them. They are
- * suspected of having crashed the server if it is found to have crashed soon after; a lost
- * connection alone is not enough.
+ * Requests whose connection was lost, or which were given up, while a backend server may have been
+ * running them. They are suspected of having crashed the server if it is found to have crashed soon
+ * after; a lost connection alone is not enough.
  */
 class lost_requests {
  public:
--- a/src/limpetlever/net/http_server.h
+++ b/src/limpetlever/net/http_server.h
@@ -40,6 +40,7 @@
   bool IsDraining() const { return is_draining_; }
   /** Accepts no further connection. */
   void StopListening();
+  bool IsListening() const { return listener_.is_open(); }
   std::size_t connection_count() const { return connections_.size(); }
   /**
    * Connections with an unanswered request, and those that the caller has yet to close after the
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -297,6 +297,11 @@
 void query_service::CancelAttempts(const query_ptr& query) {
   for (std::uint32_t i = 0; i < query->attempts.size(); ++i) {
     if (const auto attempt = std::exchange(query->attempts[i], nullptr)) {
+      const bool was_sent = attempt->connection != nullptr;
+      if (was_sent && !query->plan.outcome().IsComplete()) {
+        // A server that crashed without closing its connections does not answer either.
+        lost_requests_.Add(attempt->target->registered.id, query->fingerprint, loop_.Now());
+      }
       query->plan.OnCancelled(i, loop_.Now());
       pools_.Cancel(attempt);
     }
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -140,11 +140,12 @@
   answer SendRequest(const std::string& method,
                      const std::string& target,
                      const std::string& id,
-                     const std::string& body = {}) const {
+                     const std::string& body = {},
+                     int deadline_ms = 20000) const {
     Poco::Net::HTTPRequest request(method, target, "HTTP/1.1");
     request.setHost("h.example");
     request.set("Attempt-Id", id);
-    request.set("Deadline-Ms", "20000");
+    request.set("Deadline-Ms", std::to_string(deadline_ms));
     return Exchange(settings_.caller_address, request, body);
   }
 
@@ -215,7 +216,12 @@
       return std::make_unique<http_server>(
           loop, std::move(Listen(address).value()),
           [this, &loop, &servers, id, state, number](const auto& caller) {
-            if (caller->request().target.ends_with("/poison") && state->failures == 0) {
+            if (caller->request().target.ends_with("/silent-poison")) {
+              // As a host that loses power: the connection stays open, and new ones are refused.
+              servers[number]->StopListening();
+              hung_callers_.push_back(caller);
+              RecordRun(caller);
+            } else if (caller->request().target.ends_with("/poison") && state->failures == 0) {
               Crash(loop, servers, id, number, caller);
             } else {
               Serve(loop, id, *state, caller);
@@ -239,18 +245,22 @@
     if (caller->request().Find("Target-Instance") != id) {
       return;
     }
-    {
-      const std::lock_guard lock(mutex_);
-      ++runs_[std::string(caller->request().Find("Attempt-Id"))];
-    }
+    RecordRun(caller);
     servers[number]->StopListening();
     caller->Abort();
     loop.Defer([held = std::shared_ptr<http_server>(std::move(servers[number]))] {});
   }
 
+  void RecordRun(const std::shared_ptr<server_connection>& caller) {
+    const std::lock_guard lock(mutex_);
+    ++runs_[std::string(caller->request().Find("Attempt-Id"))];
+  }
+
   void RestartCrashed(std::vector<std::unique_ptr<http_server>>& servers) {
+    hung_callers_.clear();
     for (std::size_t i = 0; i < servers.size(); ++i) {
-      if (!servers[i]) {
+      if (!servers[i] || !servers[i]->IsListening()) {
+        servers[i].reset();
         servers[i] = start_functions_[i]();
       }
     }
@@ -274,10 +284,7 @@
       caller->Answer(head, {});
       return;
     }
-    {
-      const std::lock_guard lock(mutex_);
-      ++runs_[request_id];
-    }
+    RecordRun(caller);
     if (behaviour.failures > 0) {
       --behaviour.failures;
       AppendStatusLine(head, 500);
@@ -307,6 +314,8 @@
   socket_address store_address_;
   std::atomic<bool> must_restart_servers_ = false;
   std::vector<std::function<std::unique_ptr<http_server>()>> start_functions_;
+  /** Connections of requests that a server stopped to work on without closing them. */
+  std::vector<std::shared_ptr<server_connection>> hung_callers_;
   std::atomic<bool> is_stopping_ = false;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
--- a/tests/node/test_crashing_requests.cc
+++ b/tests/node/test_crashing_requests.cc
@@ -61,3 +61,21 @@
   cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-3").status == 503);
   cr_assert(fixture.RunCount("poison-3") == 0);
 }
+
+// Guards against a crash that is not traced to its request, since the server went silent and the
+// request was given up at its deadline.
+Test(crashing_requests, is_blocked_if_the_servers_fell_silent) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  constexpr int kDeadlineMs = 300;
+  for (int i = 0; i < 2; ++i) {
+    fixture.SendRequest("GET", "/i/silent-poison", "poison-" + std::to_string(i), {}, kDeadlineMs);
+  }
+  // Finds that the servers refuse connections.
+  while (fixture.SendRequest("GET", "/i/1", "id", {}, kDeadlineMs).status != 503) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  Recover(fixture);
+  cr_assert(fixture.SendRequest("GET", "/i/silent-poison", "poison-3").status == 503);
+  cr_assert(fixture.RunCount("poison-3") == 0);
+}
