--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -30,13 +30,22 @@
 
 namespace limpetlever {
 
-/** A loopback address with a free port. */
+/**
+ * A loopback address with a free port. The port is below those that the kernel assigns to other
+ * sockets, and each test process takes its ports from a range of its own, so that no other process
+ * can take it before it is used.
+ */
 inline socket_address FreeAddress() {
-  const auto handle = Listen({.ip = "127.0.0.1", .port = 0});
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(handle->fd(), reinterpret_cast<sockaddr*>(&bound), &size);
-  return {.ip = "127.0.0.1", .port = ntohs(bound.sin_port)};
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPortsPerProcess = 30;
+  constexpr int kRanges = 700;
+  static int next = kFirstPort + getpid() % kRanges * kPortsPerProcess;
+  while (true) {
+    const socket_address address{.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(next++)};
+    if (Listen(address)) {
+      return address;
+    }
+  }
 }
 
 /** Behaviour of a simulated backend server. */
