Node: a request that crashes servers is recognised from any address

Cause: the fingerprint contained the address of the caller's connection. A caller with several addresses, or behind several, got a new fingerprint and two more crashed servers from each. Ruled out: the content alone, since requests with the same content from other callers may complete, which clears it. Change: a request has two fingerprints, one of its content and one of content and address (request_fingerprints); either one blocks it. Measured: crashing_requests::is_blocked_for_another_address_of_the_caller fails with the address in both and passes 2 of 2 times.

--- a/src/liblimpetlever/limits/lost_requests.cc
+++ b/src/liblimpetlever/limits/lost_requests.cc
@@ -10,9 +10,10 @@
 // 5 s later: three heartbeats of 1.2 s, the lag of the list and the pause between two watches. A
 // store that is slow adds seconds.
 constexpr duration kCrashSuspicionWindow = std::chrono::seconds(12);
-// Bounds the memory to about 300 KB. A host that loses the answers of 400 attempts a second, as
-// when half the servers of 90 shards reset connections, keeps the requests of the whole window.
-constexpr std::size_t kMaxLostRequests = 5000;
+// Bounds the memory to about 500 KB. A host that loses the answers of 300 attempts a second, as
+// when half the servers of 90 shards reset connections, keeps the requests of the whole window,
+// with two fingerprints each.
+constexpr std::size_t kMaxLostRequests = 8000;
 
 }  // namespace
 
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/hash.h"
 #include "config/route_table.h"
 #include "net/event_loop.h"
 #include "node/log_writer.h"
@@ -33,15 +32,6 @@
 // one costs its connection.
 constexpr duration kAbandonedAttemptTimeout = std::chrono::milliseconds(300);
 
-/** Hash of the request's host, target, method and body and the caller's address. */
-std::uint64_t Fingerprint(server_connection& caller) {
-  const http_message& request = caller.request();
-  std::uint64_t value = CombineHashes(Hash(request.Find("Host")), Hash(request.target));
-  value = CombineHashes(value, Hash(request.method));
-  value = CombineHashes(value, Hash(caller.peer_ip()));
-  return CombineHashes(value, Hash(request.body));
-}
-
 wall_time WallNow() {
   return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
 }
@@ -97,8 +87,8 @@
     Refuse(caller, kBadRequest, "no_request_id", caller_options.request_id);
     return;
   }
-  const std::uint64_t fingerprint = Fingerprint(*caller);
-  if (crash_guard_.IsBlocked(fingerprint, WallNow())) {
+  const request_fingerprints fingerprints = ComputeFingerprints(request, caller->peer_ip());
+  if (IsBlocked(fingerprints)) {
     Refuse(caller, kUnavailable, "crashes_servers", caller_options.request_id);
     return;
   }
@@ -108,7 +98,7 @@
   auto query = std::make_shared<running_query>(
       running_query{.caller = caller,
                     .request_id = std::move(caller_options.request_id),
-                    .fingerprint = fingerprint,
+                    .fingerprints = fingerprints,
                     .writer = platform::replica_request_writer(request),
                     .plan = query_plan(table_, *found_route, state_, now, now + wait),
                     .started = now});
@@ -151,8 +141,8 @@
   attempt->on_response = [this, query, number = action.attempt](http_message& response) {
     return OnResponse(query, number, response);
   };
-  attempt->on_lost = [this, fingerprint = query->fingerprint, id = action.target->registered.id] {
-    lost_requests_.Add(id, fingerprint, loop_.Now());
+  attempt->on_lost = [this, fingerprints = query->fingerprints, id = action.target->registered.id] {
+    AddLost(id, fingerprints);
   };
   attempt->on_failure = [this, query, number = action.attempt](attempt_failure failure) {
     OnFailure(query, number, failure);
@@ -224,8 +214,10 @@
     query->cancel_attempts_at += kAbandonedAttemptTimeout;
   }
   if (outcome.IsComplete()) {
-    if (const auto report = crash_guard_.OnCompleted(query->fingerprint, WallNow())) {
-      PublishCrashReport(*report);
+    for (const std::uint64_t fingerprint : query->fingerprints) {
+      if (const auto report = crash_guard_.OnCompleted(fingerprint, WallNow())) {
+        PublishCrashReport(*report);
+      }
     }
   }
   const int missing = outcome.missing_shards;
@@ -252,12 +244,24 @@
   query->caller.reset();
 }
 
+bool query_service::IsBlocked(const request_fingerprints& fingerprints) const {
+  return std::any_of(fingerprints.begin(), fingerprints.end(), [this](std::uint64_t fingerprint) {
+    return crash_guard_.IsBlocked(fingerprint, WallNow());
+  });
+}
+
 void query_service::CheckBlocked(const query_ptr& query) {
-  if (crash_guard_.IsBlocked(query->fingerprint, WallNow())) {
+  if (IsBlocked(query->fingerprints)) {
     query->plan.ForbidRetries();
   }
 }
 
+void query_service::AddLost(const std::string& server, const request_fingerprints& fingerprints) {
+  for (const std::uint64_t fingerprint : fingerprints) {
+    lost_requests_.Add(server, fingerprint, loop_.Now());
+  }
+}
+
 void query_service::PublishCrashReport(const crash_report& report) {
   log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(report.fingerprint)},
                                               {"replica", report.server},
@@ -300,7 +304,7 @@
       const bool was_sent = attempt->connection != nullptr;
       if (was_sent && !query->plan.outcome().IsComplete()) {
         // A server that crashed without closing its connections does not answer either.
-        lost_requests_.Add(attempt->target->registered.id, query->fingerprint, loop_.Now());
+        AddLost(attempt->target->registered.id, query->fingerprints);
       }
       query->plan.OnCancelled(i, loop_.Now());
       pools_.Cancel(attempt);
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -72,6 +72,10 @@
   bool OnResponse(const query_ptr& query, std::uint32_t attempt, http_message& response);
   void OnFailure(const query_ptr& query, std::uint32_t attempt, attempt_failure failure);
   void Answer(const query_ptr& query);
+  /** Whether the request is known to crash servers. */
+  bool IsBlocked(const request_fingerprints& fingerprints) const;
+  /** Records that a request was lost while `server` may have been running it. */
+  void AddLost(const std::string& server, const request_fingerprints& fingerprints);
   /** Stops further attempts if the request is known to crash servers. */
   void CheckBlocked(const query_ptr& query);
   /** Logs a report of this host and passes it to the other hosts. */
--- a/src/limpetlever/node/running_query.h
+++ b/src/limpetlever/node/running_query.h
@@ -8,6 +8,7 @@
 
 #include "net/server_connection.h"
 #include "node/replica_attempt.h"
+#include "node/request_fingerprints.h"
 #include "platform/request_codec.h"
 #include "query/query_plan.h"
 #include "timer/timer_service.h"
@@ -18,8 +19,7 @@
 struct running_query {
   std::shared_ptr<server_connection> caller;
   std::string request_id;
-  /** Hash of the request and its caller; the same when the caller sends the request again. */
-  std::uint64_t fingerprint = 0;
+  request_fingerprints fingerprints;
   platform::replica_request_writer writer;
   query_plan plan;
   /** Indexed by attempt number; nullptr once the attempt has ended. */
--- a/tests/node/test_crashing_requests.cc
+++ b/tests/node/test_crashing_requests.cc
@@ -79,3 +79,17 @@
   cr_assert(fixture.SendRequest("GET", "/i/silent-poison", "poison-3").status == 503);
   cr_assert(fixture.RunCount("poison-3") == 0);
 }
+
+// Guards against a request that crashes further servers, since its caller has another address when
+// it sends it again.
+Test(crashing_requests, is_blocked_for_another_address_of_the_caller) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  fixture.SendRequest("GET", "/i/poison", "poison-1");
+  Recover(fixture);
+  constexpr int kDeadlineMs = 5000;
+  cr_assert(
+      fixture.SendRequest("GET", "/i/poison", "poison-2", {}, kDeadlineMs, "127.0.0.2").status ==
+      503);
+  cr_assert(fixture.RunCount("poison-2") == 0);
+}
