Node: requests that crash servers stay blocked across restarts and cuts

Cause: a mark was sent once, as a datagram, to the hosts believed to be alive, and kept in memory. A host that started later, was cut off or missed the datagram let the request crash two more servers. Weighed: attaching marks to probes, which a fleet that restarts at once forgets all the same; the store keeps them, reaches every host within its bound for changes, and costs three calls for each blocked request. The datagram stays, since the next run may come at once. While the store is away a host that starts has no configuration and serves nothing; one that misses the datagram then learns of the mark when the store is back.

--- a/src/liblimpetlever/control/control_listener.h
+++ b/src/liblimpetlever/control/control_listener.h
@@ -36,6 +36,8 @@
   virtual void OnDataCentresTakenOut(std::set<std::string> data_centres) = 0;
   /** The hosts that are currently registered; replaces the previous list. */
   virtual void OnHostsChanged(const std::vector<gossip_entry>& hosts) = 0;
+  /** A host has stored a report on a request that crashes servers. */
+  virtual void OnCrashReported(const gossip_entry& report) = 0;
   /** The store has become unreachable. `status` is that of the failed call; 0 means no answer. */
   virtual void OnStoreLost(int status) = 0;
   /** The store is reachable again after `outage`. */
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -118,6 +118,7 @@
       peers_(loop_, log_, std::move(sockets.peers), MakeSelf(settings_), MakeSeed(settings_)),
       feed_(loop_, settings_.store_address, std::move(sockets.relay), MakeSeed(settings_), *this),
       registration_(loop_, settings_.store_address, MakeSeed(settings_) + 1, *this),
+      crash_reports_(loop_, settings_.store_address, MakeSeed(settings_) + 2),
       callers_(loop_,
                std::move(sockets.callers),
                [this](const auto& caller) { query_.Handle(caller); }),
@@ -138,10 +139,14 @@
   }
   ApplySettings(settings_);
   peers_.OnMembersChanged([this] { UpdateShares(); });
-  peers_.OnCrashReport([this](const crash_report& report) { query_.MergeCrashReport(report); });
+  peers_.OnCrashReport(
+      [this](const crash_report& report) { query_.MergeCrashReport(report, "peer"); });
+  query_.OnRequestBlocked(
+      [this](const crash_report& report) { crash_reports_.Write(ToGossipEntry(report)); });
   query_.OnCrashReport([this](const crash_report& report) { peers_.BroadcastCrashReport(report); });
   pools_.OnConnectionRefused([this](const std::string& id) { query_.OnReplicaDown(id); });
-  peers_.OnRejoin([this] { registration_.ReplaceValue(platform::EncodeHost(peers_.SelfEntry())); });
+  peers_.OnRejoin(
+      [this] { registration_.ReplaceValue(platform::EncodeEntry(peers_.SelfEntry())); });
   loop_.OnSignal(SIGTERM, [this] { Leave(); });
   loop_.OnSignal(SIGHUP, [this] { Reload("signal"); });
   loop_.timers().SubscribeEvery(loop_.Now() + kRevisionCheckPeriod, kRevisionCheckPeriod,
@@ -160,7 +165,7 @@
                {"peer_address", FormatAddress(settings_.peer_address)},
                {"store_address", FormatAddress(settings_.store_address)},
                {"incarnation", peers_.SelfEntry().incarnation}});
-  registration_.Start(settings_.name, platform::EncodeHost(peers_.SelfEntry()));
+  registration_.Start(settings_.name, platform::EncodeEntry(peers_.SelfEntry()));
   feed_.Start();
   loop_.Run();
   log_.Record(event_number::node_stopped, {{"unanswered", query_.running_count()}});
@@ -421,6 +426,12 @@
   peers_.SetRegisteredHosts(hosts);
 }
 
+void node_server::OnCrashReported(const gossip_entry& report) {
+  if (const auto parsed = ParseCrashReport(report)) {
+    query_.MergeCrashReport(*parsed, "store");
+  }
+}
+
 void node_server::OnStoreLost(int status) {
   metrics_.SetStoreReachable(false);
   log_.Record(event_number::store_lost, {{"status", status}});
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -19,6 +19,7 @@
 #include "node/query_service.h"
 #include "node/replica_pools.h"
 #include "platform/control_feed.h"
+#include "platform/crash_report_writer.h"
 #include "platform/host_registration.h"
 #include "replicas/replica_registry.h"
 
@@ -88,6 +89,7 @@
   void OnReplicaRefused(const std::string& id, const failure& reason) override;
   void OnDataCentresTakenOut(std::set<std::string> data_centres) override;
   void OnHostsChanged(const std::vector<gossip_entry>& hosts) override;
+  void OnCrashReported(const gossip_entry& report) override;
   void OnStoreLost(int status) override;
   void OnStoreRegained(duration outage) override;
   void OnSourceFailed(int status) override;
@@ -106,6 +108,7 @@
   peer_service peers_;
   platform::control_feed feed_;
   platform::host_registration registration_;
+  platform::crash_report_writer crash_reports_;
   http_server callers_;
   http_server readiness_;
   http_server metrics_server_;
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -269,13 +269,34 @@
   if (on_crash_report_) {
     on_crash_report_(report);
   }
+  if (!report.server.empty()) {
+    unstored_marks_.push_back(report);
+    if (unstored_marks_.size() > kMaxFingerprints) {
+      unstored_marks_.pop_front();
+    }
+    StoreMarksIfBlocked(report.fingerprint);
+  }
+}
+
+void query_service::StoreMarksIfBlocked(std::uint64_t fingerprint) {
+  if (!on_request_blocked_ || !crash_guard_.IsBlocked(fingerprint, WallNow())) {
+    return;
+  }
+  std::erase_if(unstored_marks_, [this, fingerprint](const crash_report& mark) {
+    const bool is_stored = mark.fingerprint == fingerprint;
+    if (is_stored) {
+      on_request_blocked_(mark);
+    }
+    return is_stored;
+  });
 }
 
-void query_service::MergeCrashReport(const crash_report& report) {
+void query_service::MergeCrashReport(const crash_report& report, const char* source) {
   log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(report.fingerprint)},
                                               {"replica", report.server},
-                                              {"source", "peer"}});
+                                              {"source", source}});
   crash_guard_.Merge(report, WallNow());
+  StoreMarksIfBlocked(report.fingerprint);
 }
 
 void query_service::OnReplicaDown(const std::string& id) {
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -3,12 +3,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "limits/crash_guard.h"
+#include "limits/crash_report.h"
 #include "limits/lost_requests.h"
 #include "node/running_query.h"
 #include "query/query_state.h"
@@ -46,8 +48,15 @@
   void OnCrashReport(std::function<void(const crash_report&)> call) {
     on_crash_report_ = std::move(call);
   }
-  /** Merges a report of another host. */
-  void MergeCrashReport(const crash_report& report);
+  /**
+   * Sets the function that stores a report of this host for hosts that start later; called once the
+   * request is blocked.
+   */
+  void OnRequestBlocked(std::function<void(const crash_report&)> call) {
+    on_request_blocked_ = std::move(call);
+  }
+  /** Merges a report of another host; `source` goes into the log. */
+  void MergeCrashReport(const crash_report& report, const char* source);
   /**
    * To be called when a backend server refuses connections, has left or has restarted. Requests
    * recently lost on it are then suspected of having crashed it.
@@ -80,6 +89,8 @@
   void CheckBlocked(const query_ptr& query);
   /** Logs a report of this host and passes it to the other hosts. */
   void PublishCrashReport(const crash_report& report);
+  /** Passes the marks of this host to `on_request_blocked_` if the request is blocked. */
+  void StoreMarksIfBlocked(std::uint64_t fingerprint);
   void OnCallerDisconnected(const query_ptr& query);
   /** Cancels all attempts in flight and closes their connections. */
   void CancelAttempts(const query_ptr& query);
@@ -98,6 +109,9 @@
   crash_guard crash_guard_;
   lost_requests lost_requests_;
   std::function<void(const crash_report&)> on_crash_report_;
+  std::function<void(const crash_report&)> on_request_blocked_;
+  /** Marks of this host that were not passed to `on_request_blocked_`, the oldest first. */
+  std::deque<crash_report> unstored_marks_;
 };
 
 }  // namespace limpetlever
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -113,6 +113,10 @@
     settings_.peer_address = FreeAddress();
     settings_.metrics_address = FreeAddress();
     settings_.store_address = store_address_;
+    StartHost();
+  }
+
+  void StartHost() {
     auto created = node_server::Create("/nonexistent", settings_);
     cr_assert(created, "%s", created ? "" : created.error().message.c_str());
     server_ = std::move(created.value());
--- a/tests/node/test_crashing_requests.cc
+++ b/tests/node/test_crashing_requests.cc
@@ -93,3 +93,18 @@
       503);
   cr_assert(fixture.RunCount("poison-2") == 0);
 }
+
+// Guards against a host that has forgotten which requests crash servers when it starts again.
+Test(crashing_requests, is_blocked_after_a_restart_of_the_host) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  fixture.SendRequest("GET", "/i/poison", "poison-1");
+  Recover(fixture);
+  cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-2").status == 503);
+  kill(getpid(), SIGTERM);
+  fixture.WaitUntilStopped();
+  fixture.StartHost();
+  fixture.WaitUntilReady();
+  cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-3").status == 503);
+  cr_assert(fixture.RunCount("poison-2") == 0 && fixture.RunCount("poison-3") == 0);
+}
--- a/tests/platform/test_host_registration.cc
+++ b/tests/platform/test_host_registration.cc
@@ -26,6 +26,7 @@
   void OnReplicaRefused(const std::string&, const failure&) override {}
   void OnDataCentresTakenOut(std::set<std::string>) override {}
   void OnHostsChanged(const std::vector<gossip_entry>&) override {}
+  void OnCrashReported(const gossip_entry&) override {}
   void OnStoreLost(int) override {}
   void OnStoreRegained(duration) override {}
   void OnSourceFailed(int) override {}
