Limits: all hosts together keep to the limit that a server in need names

Cause: no code read the field. An equal part for each host exceeds small limits, since each of many hosts may send one request at the same moment. Change: the first hosts in an order of each server (limit_sharers) divide 0.85 of its limit (request_limit); the others look from time to time whether it has ended, and the first host tells them. A query that the limits cannot serve is rejected before anything is sent, with the time after which it could be. No hedges go to such servers. Event 926, `limited` in request_answered.

--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -67,6 +67,7 @@
   replica_removed = 923,
   replica_entry_refused = 924,
   data_centres_taken_out = 925,
+  request_limit_changed = 926,
   store_lost = 930,
   store_regained = 931,
   store_history_lost = 932,
--- a/src/liblimpetlever/query/query_outcome.h
+++ b/src/liblimpetlever/query/query_outcome.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time_types.h"
 #include "base/verdict.h"
 #include "query/replica_reply.h"
 
@@ -20,6 +21,8 @@
   std::vector<replica_reply> parts;
   /** Number of shards that are missing from `parts`. */
   int missing_shards = 0;
+  /** After what time the request could be served, if it was rejected under a limit. */
+  duration retry_after{};
 
   bool HasAnswer() const { return reply.has_value() || !parts.empty(); }
   /** Whether all servers that the request needs have run it with success. */
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -106,20 +106,52 @@
   return route_.IsSharded() ? std::max(1, needed) : 1;
 }
 
-bool query_plan::HasUsableReplica(const shard_state& shard) const {
-  const auto& records = state_.replicas.FindByService(shard.service);
-  return std::any_of(records.begin(), records.end(),
-                     [](const auto& record) { return record->is_usable; });
+std::optional<instant> query_plan::NextPossibleSend(const shard_state& shard, instant now) const {
+  std::optional<instant> next;
+  for (const auto& record : state_.replicas.FindByService(shard.service)) {
+    if (record->is_usable) {
+      const instant possible = record->limit.NextSend(now);
+      next = std::min(next.value_or(possible), possible);
+    }
+  }
+  return next;
+}
+
+bool query_plan::HasUsableReplica(const shard_state& shard, instant now) const {
+  const auto next = NextPossibleSend(shard, now);
+  return next && *next <= now;
+}
+
+std::optional<instant> query_plan::NextPossibleStart(instant now) const {
+  std::vector<instant> possible;
+  for (const shard_state& shard : shards_) {
+    if (const auto next = NextPossibleSend(shard, now)) {
+      possible.push_back(*next);
+    }
+  }
+  const auto needed = static_cast<std::size_t>(NeededParts());
+  if (possible.size() < needed) {
+    return std::nullopt;
+  }
+  std::sort(possible.begin(), possible.end());
+  return possible[needed - 1];
 }
 
 void query_plan::Start(instant now, action_list& actions) {
   int usable_shards = 0;
   for (const shard_state& shard : shards_) {
     FindBudget(shard).OnRequest(state_.budget_limits, now);
-    usable_shards += HasUsableReplica(shard) ? 1 : 0;
+    const auto next = NextPossibleSend(shard, now);
+    usable_shards += next && *next <= now ? 1 : 0;
+    limited_shards_ += next && *next > now ? 1 : 0;
   }
   if (usable_shards < NeededParts()) {
-    Fail(errc::no_replica, "too few shards have a usable backend server", actions);
+    const auto next_start = NextPossibleStart(now);
+    outcome_.retry_after = next_start ? *next_start - now : duration::zero();
+    Fail(errc::no_replica,
+         next_start ? "the limits of backend servers allow too few shards"
+                    : "too few shards have a usable backend server",
+         actions);
     return;
   }
   OmitLateShards(usable_shards, now);
@@ -137,7 +169,7 @@
   options.stall_limit = duration::max();
   duration min_latency = duration::max();
   for (const auto& record : state_.replicas.FindByService(shard.service)) {
-    if (record->is_usable) {
+    if (record->is_usable && record->limit.MaySend(now)) {
       min_latency = std::min(min_latency, ExpectedLatency(*record, options, now));
     }
   }
@@ -158,7 +190,7 @@
   };
   std::vector<late_shard> late;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    if (!HasUsableReplica(shards_[i])) {
+    if (!HasUsableReplica(shards_[i], now)) {
       continue;
     }
     const duration expected = ExpectedShardLatency(shards_[i], now);
@@ -219,6 +251,7 @@
   const auto attempt = static_cast<std::uint32_t>(attempts_.size());
   attempts_.push_back({.shard = shard_index, .target = target, .sent = now});
   target->load.OnSent(now);
+  target->limit.OnSent(now);
   remote_attempts_ += target->is_local ? 0 : 1;
   actions.push_back({.kind = query_action::kind_type::send,
                      .attempt = attempt,
@@ -245,6 +278,11 @@
   if (reply.load) {
     record.load.OnReport(*reply.load, now);
   }
+  if (reply.request_limit) {
+    record.limit.OnNamed(*reply.request_limit, now);
+  } else if (!reply.is_misdirected) {
+    record.limit.OnNotNamed(item.sent);
+  }
   const bool is_success = HttpStatusClass(reply.status) == 2 && !reply.signature.empty();
   if (is_success) {
     record.load.OnAnswered(item.sent, now, choice_options_.typical_latency);
@@ -334,8 +372,10 @@
   }
   const auto target = ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_,
                                     state_.random, now);
-  // Don't spend the retry budget on a server that is not expected to answer in time either.
-  if (!target || now + ExpectedLatency(*target, choice_options_, now) > answer_by_) {
+  // Don't spend the retry budget on a server that is not expected to answer in time either, nor
+  // the requests of a server in need on a second answer.
+  if (!target || target->limit.IsNamed() ||
+      now + ExpectedLatency(*target, choice_options_, now) > answer_by_) {
     return;
   }
   if (!FindBudget(shard).TakeHedge(state_.budget_limits, now)) {
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -77,6 +77,8 @@
   int budget_refusals() const { return budget_refusals_; }
   /** Number of shards that were not asked because they were expected to answer too late. */
   int omitted_shards() const { return omitted_shards_; }
+  /** Number of shards that were not asked because their servers' limits did not allow it. */
+  int limited_shards() const { return limited_shards_; }
 
  private:
   struct attempt_state {
@@ -99,7 +101,12 @@
   };
 
   void ChooseServices();
-  bool HasUsableReplica(const shard_state& shard) const;
+  /** Whether a usable server of the shard may be sent a request now. */
+  bool HasUsableReplica(const shard_state& shard, instant now) const;
+  /** When a usable server of the shard may be sent a request; nullopt if there is none. */
+  std::optional<instant> NextPossibleSend(const shard_state& shard, instant now) const;
+  /** When enough shards will have a server that may be sent a request; nullopt: not foreseeable. */
+  std::optional<instant> NextPossibleStart(instant now) const;
   /** Leaves out shards that are expected to be late, at most as many as the answer may lack. */
   void OmitLateShards(int possible, instant now);
   /** Expected latency of the fastest usable server of a shard. */
@@ -142,6 +149,7 @@
   int retries_ = 0;
   int budget_refusals_ = 0;
   int omitted_shards_ = 0;
+  int limited_shards_ = 0;
 };
 
 }  // namespace limpetlever
--- a/src/liblimpetlever/query/replica_choice.cc
+++ b/src/liblimpetlever/query/replica_choice.cc
@@ -57,7 +57,7 @@
   std::shared_ptr<replica_record> best;
   double best_cost = 0.0;
   for (const auto& record : replicas.FindByService(service)) {
-    if (!record->is_usable ||
+    if (!record->is_usable || !record->limit.MaySend(now) ||
         std::find(excluded.begin(), excluded.end(), record.get()) != excluded.end()) {
       continue;
     }
--- a/src/liblimpetlever/query/replica_choice.h
+++ b/src/liblimpetlever/query/replica_choice.h
@@ -35,8 +35,9 @@
                          instant now);
 
 /**
- * The usable server of `service` with the lowest expected latency that is not in `excluded`;
- * nullptr if there is none. Servers with almost equal latencies are chosen between at random.
+ * The usable server of `service` with the lowest expected latency that is not in `excluded` and
+ * whose limit allows a request now; nullptr if there is none. Servers with almost equal latencies
+ * are chosen between at random.
  */
 std::shared_ptr<replica_record> ChooseReplica(const replica_registry& replicas,
                                               const std::string& service,
--- a/src/liblimpetlever/query/replica_reply.h
+++ b/src/liblimpetlever/query/replica_reply.h
@@ -25,6 +25,8 @@
   bool is_misdirected = false;
   /** Load of the server, if the answer states it. */
   std::optional<reported_load> load;
+  /** Requests per second that the server takes from all hosts together, if the answer names it. */
+  std::optional<double> request_limit;
 
   bool operator==(const replica_reply&) const = default;
 };
--- a/src/liblimpetlever/replicas/replica_record.h
+++ b/src/liblimpetlever/replicas/replica_record.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_REPLICAS_REPLICA_RECORD_H_
 
 #include "base/time_types.h"
+#include "limits/request_limit.h"
 #include "replicas/replica.h"
 #include "replicas/replica_load.h"
 
@@ -11,6 +12,8 @@
 struct replica_record {
   replica registered;
   replica_load load;
+  /** The limit that the server names while it is in need. */
+  request_limit limit;
   /** End of the warm-up, during which the server is slower and has less capacity. */
   instant cold_until;
   /** False if it has left or is draining, or if its data centre is taken out: no new attempts. */
--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -46,6 +46,7 @@
   record->cold_until = now + registered.warm_up_left;
   record->is_usable = ShouldUse(registered);
   record->is_local = registered.data_centre == own_data_centre_;
+  record->limit.SetShare(sharers_.ShareOf(registered.id), now);
   by_service_[registered.service].push_back(record);
   by_id_.emplace(registered.id, std::move(record));
   return true;
@@ -73,6 +74,16 @@
   return true;
 }
 
+void replica_registry::SetLimitSharers(limit_sharers sharers, instant now) {
+  if (sharers == sharers_) {
+    return;
+  }
+  sharers_ = std::move(sharers);
+  for (const auto& [id, record] : by_id_) {
+    record->limit.SetShare(sharers_.ShareOf(id), now);
+  }
+}
+
 const replica_registry::record_list& replica_registry::FindByService(
     const std::string& service) const {
   static const record_list none;
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time_types.h"
+#include "limits/limit_sharers.h"
 
 namespace limpetlever {
 
@@ -37,6 +38,9 @@
   /** Sets the data centres whose servers get no attempts. Returns whether the set has changed. */
   bool SetTakenOut(std::set<std::string> data_centres);
 
+  /** Sets the hosts that share the limits of the servers. */
+  void SetLimitSharers(limit_sharers sharers, instant now);
+
   /** All known servers of a service, usable or not. */
   const record_list& FindByService(const std::string& service) const;
   /** Returns nullptr if the id is unknown. */
@@ -54,6 +58,7 @@
   std::unordered_map<std::string, std::shared_ptr<replica_record>> by_id_;
   std::unordered_map<std::string, record_list> by_service_;
   std::set<std::string> taken_out_;
+  limit_sharers sharers_;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -141,6 +141,8 @@
   peers_.OnMembersChanged([this] { UpdateShares(); });
   peers_.OnCrashReport(
       [this](const crash_report& report) { query_.MergeCrashReport(report, "peer"); });
+  peers_.OnLimitEnded([this](const std::string& id) { query_.OnLimitEndedElsewhere(id); });
+  query_.OnLimitEnded([this](const std::string& id) { peers_.BroadcastLimitEnded(id); });
   query_.OnRequestBlocked(
       [this](const crash_report& report) { crash_reports_.Write(ToGossipEntry(report)); });
   query_.OnCrashReport([this](const crash_report& report) { peers_.BroadcastCrashReport(report); });
@@ -192,11 +194,22 @@
   metrics_.SetLiveHostCount(static_cast<double>(hosts));
   const auto in_use = SelectHostsInUse(members, MaxHostsInUse());
   UpdateRetryShare(in_use, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
+  UpdateLimitSharers();
   if (query_.table()) {
     pools_.SetConnectionLimits(*query_.table(), static_cast<int>(in_use.size()));
   }
 }
 
+void node_server::UpdateLimitSharers() {
+  const auto possible = peers_.PossibleHosts();
+  std::vector<std::string> in_use;
+  for (const member& host : SelectHostsInUse(possible, MaxHostsInUse())) {
+    in_use.push_back(host.name);
+  }
+  replicas_.SetLimitSharers(
+      limit_sharers(settings_.name, in_use, static_cast<int>(possible.size())), loop_.Now());
+}
+
 bool node_server::IsViewComplete() const {
   return loop_.Now() - started_ >= kViewConvergenceTime;
 }
@@ -424,6 +437,7 @@
     registration_.RewriteMissingEntry();
   }
   peers_.SetRegisteredHosts(hosts);
+  UpdateLimitSharers();
 }
 
 void node_server::OnCrashReported(const gossip_entry& report) {
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -60,6 +60,8 @@
   void ApplySettings(const node_settings& settings);
   /** Recomputes this host's share of the retry budget and of the connections to servers. */
   void UpdateShares();
+  /** Sets the hosts that share the limits of backend servers. */
+  void UpdateLimitSharers();
   /** Whether this host has run long enough for its view of the fleet to be complete. */
   bool IsViewComplete() const;
   /**
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -34,6 +34,9 @@
 // Hosts to which one host sends a new revision. As every host does so, each one receives it.
 constexpr std::size_t kRevisionFanOut = 16;
 
+// Key of an update on a backend server that no longer names a limit; its id follows.
+constexpr std::string_view kLimitEndedPrefix = "limit-ended/";
+
 std::string FormatAddress(const socket_address& address) {
   return address.ip + ":" + std::to_string(address.port);
 }
@@ -189,6 +192,12 @@
       }
       continue;
     }
+    if (entry.key.starts_with(kLimitEndedPrefix)) {
+      if (on_limit_ended_) {
+        on_limit_ended_(entry.key.substr(kLimitEndedPrefix.size()));
+      }
+      continue;
+    }
     RejoinIfOutdated(entry);
     tracker_.MergeEntry(entry, loop_.Now());
   }
@@ -258,15 +267,39 @@
   return newest_peer_revision_ > revision_ && loop_.Now() - behind_since_ > kMaxRevisionLag;
 }
 
-void peer_service::BroadcastCrashReport(const crash_report& report) {
+void peer_service::Broadcast(const gossip_entry& update) {
   for (const member& host : tracker_.Members()) {
     if (host.name != self_.name && host.state != member_state::dead) {
-      Send(host.peer_address,
-           {.kind = peer_message::kind_type::update, .updates = {ToGossipEntry(report)}});
+      Send(host.peer_address, {.kind = peer_message::kind_type::update, .updates = {update}});
     }
   }
 }
 
+void peer_service::BroadcastCrashReport(const crash_report& report) {
+  Broadcast(ToGossipEntry(report));
+}
+
+void peer_service::BroadcastLimitEnded(const std::string& server) {
+  Broadcast({.key = std::string(kLimitEndedPrefix) + server});
+}
+
+std::vector<member> peer_service::PossibleHosts() const {
+  std::map<std::string, member> hosts = registered_;
+  for (const member& host : tracker_.Members()) {
+    if (host.state == member_state::leaving) {
+      hosts.erase(host.name);
+    } else if (host.state != member_state::dead) {
+      hosts[host.name] = host;
+    }
+  }
+  std::vector<member> possible;
+  for (auto& [name, host] : hosts) {
+    host.state = member_state::alive;
+    possible.push_back(std::move(host));
+  }
+  return possible;
+}
+
 void peer_service::Advance() {
   const instant now = loop_.Now();
   const auto next = tracker_.NextTimer();
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -42,6 +42,12 @@
    * includes registered hosts that have not sent a message yet.
    */
   std::vector<member> Members() const;
+  /**
+   * The hosts that may be sending requests: this one and those that are registered or seem to be
+   * alive, all with the state `alive`. Larger than the fleet rather than smaller, and nearly the
+   * same on both sides of a partition.
+   */
+  std::vector<member> PossibleHosts() const;
   /** Sets the function to call when Members() has changed. */
   void OnMembersChanged(std::function<void()> call) { on_members_changed_ = std::move(call); }
   /**
@@ -58,6 +64,12 @@
    * Sends the report to all hosts at once, since the request's next run may crash another server.
    */
   void BroadcastCrashReport(const crash_report& report);
+  /** Sets the function to call with a server whose limit has ended, as another host has found. */
+  void OnLimitEnded(std::function<void(const std::string&)> call) {
+    on_limit_ended_ = std::move(call);
+  }
+  /** Tells all hosts that `server` no longer names a limit. */
+  void BroadcastLimitEnded(const std::string& server);
   /** Marks this host as leaving and sends that to all hosts. */
   void Leave();
   /**
@@ -88,6 +100,8 @@
    * process of that name can have sent it.
    */
   void RejoinIfOutdated(const gossip_entry& entry);
+  /** Sends an update to all other hosts that are not dead. */
+  void Broadcast(const gossip_entry& update);
   /** Sends the probes that are due. */
   void Advance();
   void Send(const std::string& address, peer_message message);
@@ -117,6 +131,7 @@
   std::function<void()> on_members_changed_;
   std::function<void()> on_rejoin_;
   std::function<void(const crash_report&)> on_crash_report_;
+  std::function<void(const std::string&)> on_limit_ended_;
   std::uint64_t next_relayed_id_;
   std::uint64_t reported_change_count_ = 0;
   instant started_;
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -179,14 +179,44 @@
                                                {"status", reply.status},
                                                {"after_ms", loop_.Now() - query->started}});
   }
+  const std::shared_ptr<replica_record> record = target;
+  const double limit_before = record->limit.requests_per_s();
   query->attempts[attempt] = nullptr;
   CheckBlocked(query);
   query_plan::action_list actions;
   query->plan.OnReply(attempt, std::move(reply), loop_.Now(), actions);
+  ReportLimit(*record, limit_before);
   Execute(query, actions);
   return true;
 }
 
+void query_service::ReportLimit(const replica_record& record, double before) {
+  const double limit = record.limit.requests_per_s();
+  if (limit == before) {
+    return;
+  }
+  log_.Record(event_number::request_limit_changed, {{"replica", record.registered.id},
+                                                    {"service", record.registered.service},
+                                                    {"per_s", limit},
+                                                    {"before", before},
+                                                    {"source", "own"}});
+  if (limit == 0.0 && record.limit.IsFirstHost() && on_limit_ended_) {
+    on_limit_ended_(record.registered.id);
+  }
+}
+
+void query_service::OnLimitEndedElsewhere(const std::string& id) {
+  const auto record = state_.replicas.Find(id);
+  if (record && record->limit.IsNamed()) {
+    log_.Record(event_number::request_limit_changed, {{"replica", id},
+                                                      {"service", record->registered.service},
+                                                      {"per_s", 0.0},
+                                                      {"before", record->limit.requests_per_s()},
+                                                      {"source", "peer"}});
+    record->limit.OnEnded();
+  }
+}
+
 void query_service::OnFailure(const query_ptr& query,
                               std::uint32_t attempt,
                               attempt_failure failure) {
@@ -236,6 +266,7 @@
                                                {"hedges", query->plan.hedges()},
                                                {"retries", query->plan.retries()},
                                                {"omitted", query->plan.omitted_shards()},
+                                               {"limited", query->plan.limited_shards()},
                                                {"budget_empty", query->plan.budget_refusals()},
                                                {"elapsed_ms", elapsed}});
   metrics_.OnAnswered(answer.status, query_route.priority, elapsed, missing);
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -63,6 +63,13 @@
    */
   void OnReplicaDown(const std::string& id);
 
+  /** Sets the function that tells other hosts that a server no longer names a limit. */
+  void OnLimitEnded(std::function<void(const std::string&)> call) {
+    on_limit_ended_ = std::move(call);
+  }
+  /** Another host has found that the server `id` no longer names a limit. */
+  void OnLimitEndedElsewhere(const std::string& id);
+
   /** Starts the query for the request that waits on this connection, or refuses it. */
   void Handle(const std::shared_ptr<server_connection>& caller);
   /** Requests that are not answered yet. */
@@ -79,6 +86,8 @@
   void Execute(const query_ptr& query, query_plan::action_list& actions);
   void SendAttempt(const query_ptr& query, const query_action& action);
   bool OnResponse(const query_ptr& query, std::uint32_t attempt, http_message& response);
+  /** Logs a changed limit of a server, and reports its end if this host is the one to do so. */
+  void ReportLimit(const replica_record& record, double before);
   void OnFailure(const query_ptr& query, std::uint32_t attempt, attempt_failure failure);
   void Answer(const query_ptr& query);
   /** Whether the request is known to crash servers. */
@@ -110,6 +119,7 @@
   lost_requests lost_requests_;
   std::function<void(const crash_report&)> on_crash_report_;
   std::function<void(const crash_report&)> on_request_blocked_;
+  std::function<void(const std::string&)> on_limit_ended_;
   /** Marks of this host that were not passed to `on_request_blocked_`, the oldest first. */
   std::deque<crash_report> unstored_marks_;
 };
--- a/tests/platform/test_request_codec.cc
+++ b/tests/platform/test_request_codec.cc
@@ -128,3 +128,22 @@
                                                     std::chrono::milliseconds(1200));
   cr_assert(body == R"({"addrs":["10.0.0.1:80"],"ttl_s":1.2})", "%s", body.c_str());
 }
+
+// Guards against a limit of a server in need that is not read, or is read from text that is none.
+Test(request_codec, a_reply_names_the_limit_of_its_server) {
+  const auto limit_in = [](const std::string& field) {
+    parsed reply(http_reader::side::responses,
+                 "HTTP/1.1 200 OK\r\n" + field + "Content-Length: 0\r\n\r\n");
+    return platform::ParseReply(*reply).request_limit;
+  };
+  cr_assert(limit_in("Server-Limit: 9.6\r\n") == 9.6);
+  cr_assert(limit_in("server-limit: 12\r\n") == 12.0);
+  cr_assert(limit_in("Server-Limit: 0\r\n") == 0.0);
+  cr_assert(!limit_in(""));
+  for (const char* text : {"", "-1", "many", "9,6", "1e999", "nan", "inf", "7 a second"}) {
+    cr_assert(!limit_in("Server-Limit: " + std::string(text) + "\r\n"), "%s", text);
+  }
+  parsed other(http_reader::side::responses,
+               "HTTP/1.1 421 Misdirected Request\r\nServer-Limit: 1\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(!platform::ParseReply(*other).request_limit, "of another server at the address");
+}
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -332,3 +332,88 @@
   }
   cr_assert(plan->IsDone() && plan->outcome().result.state == run_state::may_have_run);
 }
+
+// Guards against a query that waits, or uses up what servers in need allow, although their limits
+// allow too few shards: it is rejected at once and says when to come back.
+Test(query_plan, is_rejected_at_once_if_limits_allow_too_few_shards) {
+  query_fixture fixture(10);
+  fixture.search.min_shard_ratio = 0.9;
+  for (int i = 0; i < 2; ++i) {
+    for (const char* side : {"a", "b"}) {
+      fixture.registry.Find(side + std::to_string(i))->limit.OnNamed(0.5, fixture.now);
+    }
+  }
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  cr_assert(plan->IsDone() && query_fixture::Sends(actions).empty());
+  cr_assert(plan->outcome().result.state == run_state::not_run && plan->limited_shards() == 2);
+  const duration retry_after = plan->outcome().retry_after;
+  cr_assert(retry_after > std::chrono::seconds(1) && retry_after < std::chrono::seconds(5));
+  fixture.now += retry_after;
+  const auto later = fixture.Plan(fixture.search);
+  actions.clear();
+  later->Start(fixture.now, actions);
+  cr_assert(query_fixture::Sends(actions).size() >= 9);
+}
+
+// Guards against attempts beyond the limit of a server: first attempts, retries and hedges go to
+// another server or are not sent.
+Test(query_plan, keeps_to_the_limit_of_a_server) {
+  query_fixture fixture(4);
+  fixture.search.min_shard_ratio = 0.5;
+  const auto limited = fixture.registry.Find("a0");
+  limited->limit.OnNamed(1.0, fixture.now);
+  fixture.registry.Find("b1")->limit.OnNamed(1000.0, fixture.now);
+  fixture.Advance(1000);
+  std::map<std::string, int> sends;
+  for (int query = 0; query < 50; ++query) {
+    const auto plan = fixture.Plan(fixture.search);
+    actions_type actions;
+    plan->Start(fixture.now, actions);
+    for (const query_action& send : query_fixture::Sends(actions)) {
+      replica_reply reply = query_fixture::SuccessReply("s");
+      if (send.target->limit.IsNamed()) {
+        reply.request_limit = send.target->limit.requests_per_s();
+      }
+      if (query % 5 == 0) {
+        plan->OnFailure(send.attempt, attempt_failure::connection_lost, fixture.now, actions);
+      } else {
+        plan->OnReply(send.attempt, std::move(reply), fixture.now, actions);
+      }
+    }
+    fixture.Advance(100);
+    plan->OnTimer(fixture.now, actions);
+    for (const query_action& send : query_fixture::Sends(actions)) {
+      ++sends[send.target->registered.id];
+      cr_assert(send.reason != send_reason::hedge || !send.target->limit.IsNamed());
+    }
+  }
+  cr_assert(sends["a0"] <= 6, "%d requests in 5 s at a limit of 1 a second", sends["a0"]);
+  cr_assert(sends["b0"] >= 40);
+}
+
+// Guards against a limit that an answer names, or no longer names, and that is not kept.
+Test(query_plan, follows_the_limit_that_answers_name) {
+  query_fixture fixture(1);
+  const auto ask = [&fixture](std::optional<double> limit) {
+    const auto plan = fixture.Plan(fixture.search);
+    actions_type actions;
+    fixture.Advance(1);
+    plan->Start(fixture.now, actions);
+    const auto sent = query_fixture::Sends(actions);
+    cr_assert(sent.size() == 1);
+    replica_reply reply = query_fixture::SuccessReply("s");
+    reply.request_limit = limit;
+    fixture.Advance(1);
+    plan->OnReply(sent[0].attempt, std::move(reply), fixture.now, actions);
+    return sent[0].target;
+  };
+  const auto first = ask(2.5);
+  cr_assert(first->limit.IsNamed() && first->limit.requests_per_s() == 2.5);
+  const auto second = ask(2.5);
+  cr_assert(second != first && second->limit.IsNamed());
+  fixture.Advance(5000);
+  const auto third = ask(std::nullopt);
+  cr_assert(!third->limit.IsNamed());
+}
