Net: bytes without end from a server end its connection

Cause: header and body had limits, but interim answers (1xx) and answers to other requests were skipped without one, so that a server could keep a host reading until the caller's deadline. Change: all bytes since a request was sent count towards a limit. Measured: http_client::bytes_without_end_end_the_connection plays eleven kinds; two of them sent 8 MB without an end before, none now.

--- a/src/limpetlever/net/http_client.cc
+++ b/src/limpetlever/net/http_client.cc
@@ -12,6 +12,10 @@
 // Much larger than the header of any answer; bounds the memory use of a small host.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 
+// Interim answers, answers to earlier requests and the framing of chunks, which the limits of the
+// header and the body do not cover.
+constexpr std::size_t kMaxOverheadBytes = 256 * 1024;
+
 socket_handle ConnectOrClosed(const socket_address& address) {
   auto handle = BeginConnect(address);
   return handle ? std::move(handle.value()) : socket_handle();
@@ -40,6 +44,7 @@
     : loop_(loop),
       handler_(target),
       reader_(http_reader::side::responses, kMaxHeaderBytes, max_body_bytes),
+      max_received_bytes_(2 * max_body_bytes + kMaxOverheadBytes),
       socket_(loop, ConnectOrClosed(address), true, *this),
       last_used_(loop.Now()) {
   SetUnacknowledgedTimeout(socket_.fd(), unacknowledged_timeout);
@@ -55,6 +60,7 @@
 void http_client::Send(std::string_view request, bool is_head) {
   is_busy_ = true;
   last_received_.reset();
+  received_bytes_ = 0;
   reader_.Next();
   reader_.ExpectNoBody(is_head);
   socket_.Write(request);
@@ -82,6 +88,11 @@
     return;
   }
   last_received_ = loop_.Now();
+  received_bytes_ += bytes.size();
+  if (received_bytes_ > max_received_bytes_) {
+    End(end_reason::malformed);
+    return;
+  }
   while (!bytes.empty()) {
     bytes.remove_prefix(reader_.Feed(bytes));
     if (reader_.current() == http_reader::state::reading) {
--- a/src/limpetlever/net/http_client.h
+++ b/src/limpetlever/net/http_client.h
@@ -28,7 +28,7 @@
     unexpected_bytes,
     /** Ended after the request was sent and before the complete response arrived. */
     lost,
-    /** The response is not valid HTTP, or exceeds a size limit. */
+    /** The response is not valid HTTP, exceeds a size limit, or does not come among many bytes. */
     malformed
   };
   class handler {
@@ -84,6 +84,9 @@
   event_loop& loop_;
   handler& handler_;
   http_reader reader_;
+  const std::size_t max_received_bytes_;
+  /** Bytes that arrived since the request was sent. */
+  std::size_t received_bytes_ = 0;
   stream_socket socket_;
   bool is_connected_ = false;
   bool is_busy_ = false;
--- a/tests/net/test_http_client.cc
+++ b/tests/net/test_http_client.cc
@@ -172,3 +172,61 @@
   loop.Run();
   cr_assert(test.ended == http_client::end_reason::not_connected);
 }
+
+// Guards against passing on an answer as whole whose server stopped in the middle of its head.
+Test(http_client, an_answer_that_ends_in_its_head_is_lost) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t size = 0; size < answer.size(); ++size) {
+    event_loop loop;
+    scripted_server server(loop, {answer.substr(0, size)}, true);
+    test_client test(loop, server.address());
+    loop.Run();
+    cr_assert(!test.body && test.ended == http_client::end_reason::lost, "cut after %zu bytes",
+              size);
+  }
+}
+
+// Guards against memory and time that a server takes whose bytes are no answer and never end.
+Test(http_client, bytes_without_end_end_the_connection) {
+  struct endless {
+    const char* name;
+    const char* first;
+    const char* repeated;
+  };
+  const endless cases[] = {
+      {"reason", "HTTP/1.1 200 ", "x"},
+      {"field", "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "x"},
+      {"fields", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X: y\r\n"},
+      {"empty lines", "", "\r\n"},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"answers to other requests", "", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n"},
+      {"body without length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
+      {"body with length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 999999999\r\n\r\n", "x"},
+      {"chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      {"chunk extension", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+      {"trailers", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X: y\r\n"},
+  };
+  constexpr std::size_t kPieceBytes = 8 * 1024;
+  constexpr std::size_t kMaxSentBytes = 8 * 1024 * 1024;
+  for (const endless& item : cases) {
+    event_loop loop;
+    scripted_server server(loop, {item.first}, false);
+    test_client test(loop, server.address());
+    std::string piece;
+    while (piece.size() < kPieceBytes) {
+      piece += item.repeated;
+    }
+    std::size_t sent = 0;
+    loop.timers().SubscribeEvery(loop.Now() + std::chrono::milliseconds(20),
+                                 std::chrono::microseconds(500), [&](instant) {
+                                   server.SendMore(piece);
+                                   sent += piece.size();
+                                   if (sent > kMaxSentBytes) {
+                                     loop.Stop();
+                                   }
+                                 });
+    loop.Run();
+    cr_assert(test.ended && !test.body, "%s: %zu bytes sent", item.name, sent);
+  }
+}
