Node: a host that stops refuses what it cannot answer and answers the rest

A host that has got SIGTERM accepts requests for as long as it runs, with the deadline of the caller, and ends 0.4 s before the end of the grace time whatever is running. Change: from SIGTERM on a request is refused with 503 at once if the time left is shorter than the target of its route, or shorter than its whole deadline if it must not run twice; others get the time left as their deadline. What is still running 0.6 s before the end is answered with the parts that have arrived, or 504.

--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -470,6 +470,17 @@
   FinishIfPossible(now, actions);
 }
 
+void query_plan::OnHostStopping(action_list& actions) {
+  if (is_done_) {
+    return;
+  }
+  if (answered_ >= NeededParts()) {
+    Finish(actions);
+  } else {
+    Fail(errc::deadline_exceeded, "this host stops", actions);
+  }
+}
+
 std::optional<instant> query_plan::NextTimer() const {
   if (is_done_) {
     return std::nullopt;
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -52,6 +52,8 @@
   void OnFailure(std::uint32_t attempt, attempt_failure failure, instant now, action_list& actions);
   /** This host cancelled `attempt` before its answer arrived. */
   void OnCancelled(std::uint32_t attempt, instant now);
+  /** Ends the query with what has been answered, since this host is about to stop. */
+  void OnHostStopping(action_list& actions);
   /** Sends due hedges and ends the query when it is due; to be called at NextTimer(). */
   void OnTimer(instant now, action_list& actions);
   /**
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -32,6 +32,8 @@
 constexpr int kMaxLifetimesKept = 3;
 // Reserved within the grace time for the exit of the process.
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
+// Reserved before that for sending the last answers.
+constexpr duration kLastAnswersMargin = std::chrono::milliseconds(200);
 constexpr duration kDrainCheckPeriod = std::chrono::milliseconds(100);
 constexpr duration kRevisionCheckPeriod = std::chrono::milliseconds(200);
 // The source of store changes is chosen again at this period, and when it fails.
@@ -358,6 +360,7 @@
   registration_.Leave();
   callers_.BeginDrain();
   const instant since = loop_.Now();
+  query_.BeginStop(since + settings_.grace_time - kExitMargin - kLastAnswersMargin);
   loop_.timers().SubscribeEvery(since + kDrainCheckPeriod, kDrainCheckPeriod,
                                 [this, since](instant) { CheckDrained(since); });
 }
@@ -366,6 +369,9 @@
   const duration elapsed = loop_.Now() - leaving_since;
   const bool have_answers_expired = elapsed >= kDirectoryAnswerLifetime * kMaxLifetimesKept;
   const bool is_idle = query_.running_count() == 0 && callers_.busy_count() == 0;
+  if (elapsed >= settings_.grace_time - kExitMargin - kLastAnswersMargin) {
+    query_.FinishAll();
+  }
   if ((have_answers_expired && is_idle) || elapsed >= settings_.grace_time - kExitMargin) {
     loop_.Stop();
   }
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -93,8 +93,15 @@
     return;
   }
   const instant now = loop_.Now();
-  const duration wait =
+  duration wait =
       std::min(caller_options.timeout.value_or(found_route->timeout), found_route->timeout);
+  if (!FitsBeforeStop(*found_route, wait, now)) {
+    Refuse(caller, kUnavailable, "leaving", caller_options.request_id);
+    return;
+  }
+  if (stop_at_) {
+    wait = std::min(wait, *stop_at_ - now);
+  }
   auto query = std::make_shared<running_query>(
       running_query{.caller = caller,
                     .request_id = std::move(caller_options.request_id),
@@ -102,7 +109,7 @@
                     .writer = platform::replica_request_writer(request),
                     .plan = query_plan(table_, *found_route, state_, now, now + wait),
                     .started = now});
-  ++running_count_;
+  running_.emplace(query.get(), query);
   caller->OnCallerDisconnected([this, weak = std::weak_ptr(query)] {
     if (const auto locked = weak.lock()) {
       OnCallerDisconnected(locked);
@@ -113,6 +120,31 @@
   Execute(query, actions);
 }
 
+bool query_service::FitsBeforeStop(const route& query_route, duration wait, instant now) const {
+  if (!stop_at_) {
+    return true;
+  }
+  // A request that must not run twice is refused unless its whole time is left: an answer that
+  // comes too late would leave its caller in doubt.
+  const duration needed =
+      query_route.is_idempotent ? std::min(wait, query_route.target_latency) : wait;
+  return now + needed <= *stop_at_;
+}
+
+void query_service::FinishAll() {
+  std::vector<query_ptr> queries;
+  for (const auto& [key, weak] : running_) {
+    if (auto query = weak.lock()) {
+      queries.push_back(std::move(query));
+    }
+  }
+  for (const query_ptr& query : queries) {
+    query_plan::action_list actions;
+    query->plan.OnHostStopping(actions);
+    Execute(query, actions);
+  }
+}
+
 void query_service::Execute(const query_ptr& query, query_plan::action_list& actions) {
   for (const query_action& action : actions) {
     switch (action.kind) {
@@ -238,7 +270,7 @@
 void query_service::Answer(const query_ptr& query) {
   query->is_answered = true;
   query->cancel_attempts_at = loop_.Now();
-  --running_count_;
+  running_.erase(query.get());
   auto& outcome = query->plan.outcome();
   if (outcome.HasAnswer()) {
     query->cancel_attempts_at += kAbandonedAttemptTimeout;
@@ -341,7 +373,7 @@
   if (std::exchange(query->is_answered, true)) {
     return;
   }
-  --running_count_;
+  running_.erase(query.get());
   metrics_.OnCallerDisconnected();
   log_.Record(event_number::caller_left, {{"id", query->request_id},
                                           {"route", query->plan.matched_route().name},
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -6,7 +6,9 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "limits/crash_guard.h"
@@ -73,7 +75,15 @@
   /** Starts the query for the request that waits on this connection, or refuses it. */
   void Handle(const std::shared_ptr<server_connection>& caller);
   /** Requests that are not answered yet. */
-  std::size_t running_count() const { return running_count_; }
+  std::size_t running_count() const { return running_.size(); }
+
+  /**
+   * This host stops answering at `stop_at`. Requests that could not be answered before are refused
+   * from now on, so that their callers turn to another host.
+   */
+  void BeginStop(instant stop_at) { stop_at_ = stop_at; }
+  /** Answers all running requests with what has arrived. */
+  void FinishAll();
 
  private:
   using query_ptr = std::shared_ptr<running_query>;
@@ -105,6 +115,8 @@
   void CancelAttempts(const query_ptr& query);
   /** Sets the timer for the plan's next step, or for the end of abandoned attempts. */
   void SetTimer(const query_ptr& query);
+  /** Whether a query can be answered before this host stops; always if it does not stop. */
+  bool FitsBeforeStop(const route& query_route, duration wait, instant now) const;
   /** A randomised time after which a refused caller should retry. */
   duration RandomRetryAfter();
 
@@ -114,7 +126,9 @@
   node_metrics& metrics_;
   query_state state_;
   std::shared_ptr<const route_table> table_;
-  std::size_t running_count_ = 0;
+  /** Queries that are not answered yet. */
+  std::unordered_map<const running_query*, std::weak_ptr<running_query>> running_;
+  std::optional<instant> stop_at_;
   crash_guard crash_guard_;
   lost_requests lost_requests_;
   std::function<void(const crash_report&)> on_crash_report_;
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -76,7 +76,9 @@
  */
 class host_fixture {
  public:
-  explicit host_fixture(const std::map<std::string, server_behaviour>& behaviour = {}) {
+  using behaviour_map = std::map<std::string, server_behaviour>;
+
+  explicit host_fixture(const behaviour_map& behaviour = {}) {
     std::atomic<bool> is_ready = false;
     environment_thread_ = std::thread([&] {
       event_loop loop;
