Limits: a refusal that names no limit does not end one

Cause: any answer without the field ended the limit of its server, also a refusal, which a server may send before it looks at its load. Change: only an answer to a request that ran ends a limit. Measured: the added check in query_plan::follows_the_limit_that_answers_name.

--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -280,7 +280,8 @@
   }
   if (reply.request_limit) {
     record.limit.OnNamed(*reply.request_limit, now);
-  } else if (!reply.is_misdirected) {
+  } else if (!reply.is_not_run) {
+    // A server that rejects a request may do so before it knows its limit.
     record.limit.OnNotNamed(item.sent);
   }
   const bool is_success = HttpStatusClass(reply.status) == 2 && !reply.signature.empty();
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -396,14 +396,15 @@
 // Guards against a limit that an answer names, or no longer names, and that is not kept.
 Test(query_plan, follows_the_limit_that_answers_name) {
   query_fixture fixture(1);
-  const auto ask = [&fixture](std::optional<double> limit) {
+  const auto ask = [&fixture](std::optional<double> limit, bool is_refused = false) {
     const auto plan = fixture.Plan(fixture.search);
     actions_type actions;
     fixture.Advance(1);
     plan->Start(fixture.now, actions);
     const auto sent = query_fixture::Sends(actions);
     cr_assert(sent.size() == 1);
-    replica_reply reply = query_fixture::SuccessReply("s");
+    replica_reply reply =
+        is_refused ? query_fixture::RefusalReply() : query_fixture::SuccessReply("s");
     reply.request_limit = limit;
     fixture.Advance(1);
     plan->OnReply(sent[0].attempt, std::move(reply), fixture.now, actions);
@@ -414,6 +415,7 @@
   const auto second = ask(2.5);
   cr_assert(second != first && second->limit.IsNamed());
   fixture.Advance(5000);
-  const auto third = ask(std::nullopt);
-  cr_assert(!third->limit.IsNamed());
+  cr_assert(ask(std::nullopt, true)->limit.IsNamed(), "a refusal says nothing on the limit");
+  fixture.Advance(5000);
+  cr_assert(!ask(std::nullopt)->limit.IsNamed());
 }
