Query: a rejection under a limit sends its caller away for 5 s at most

Cause: Retry-After of a query that the limits of servers do not allow was the time until this host may send again. For a host without a part in a limit that is minutes, while other hosts could serve the caller. Change: 5 s at most, the longest deadline of the users' routes. Measured: query_plan::a_host_without_a_part_in_a_limit_does_not_send_callers_away_ for_long fails before (the time is over a minute) and passes.

--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -35,6 +35,10 @@
 // Includes attempts that were refused by the backend server.
 constexpr int kMaxSendsPerShard = 4;
 
+// A host without a part in the limits of servers may have to wait for minutes, but its caller can
+// turn to another host.
+constexpr duration kMaxLimitRetryAfter = std::chrono::seconds(5);
+
 int HttpStatusClass(int status) {
   return status / 100;
 }
@@ -147,7 +151,8 @@
   }
   if (usable_shards < NeededParts()) {
     const auto next_start = NextPossibleStart(now);
-    outcome_.retry_after = next_start ? *next_start - now : duration::zero();
+    outcome_.retry_after =
+        next_start ? std::min(*next_start - now, kMaxLimitRetryAfter) : duration::zero();
     Fail(errc::no_replica,
          next_start ? "the limits of backend servers allow too few shards"
                     : "too few shards have a usable backend server",
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -357,6 +357,23 @@
   cr_assert(query_fixture::Sends(actions).size() >= 9);
 }
 
+// Guards against a caller that is told to come back after minutes, by a host that has no part in
+// the limits, while other hosts could serve it.
+Test(query_plan, a_host_without_a_part_in_a_limit_does_not_send_callers_away_for_long) {
+  query_fixture fixture(1);
+  fixture.registry.SetLimitSharers(
+      limit_sharers("host", std::vector<std::string>(30, "other"), 1000), fixture.now);
+  for (const char* id : {"a0", "b0"}) {
+    fixture.registry.Find(id)->limit.OnNamed(1.0, fixture.now);
+  }
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  cr_assert(plan->IsDone() && plan->limited_shards() == 1);
+  const duration retry_after = plan->outcome().retry_after;
+  cr_assert(retry_after > duration::zero() && retry_after <= std::chrono::seconds(5));
+}
+
 // Guards against attempts beyond the limit of a server: first attempts, retries and hedges go to
 // another server or are not sent.
 Test(query_plan, keeps_to_the_limit_of_a_server) {
