--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -110,26 +110,15 @@
   return route_.IsSharded() ? std::max(1, needed) : 1;
 }
 
-std::optional<instant> query_plan::NextPossibleSend(const shard_state& shard, instant now) const {
-  std::optional<instant> next;
-  for (const auto& record : state_.replicas.FindByService(shard.service)) {
-    if (record->is_usable) {
-      const instant possible = record->limit.NextSend(now);
-      next = std::min(next.value_or(possible), possible);
-    }
-  }
-  return next;
-}
-
 bool query_plan::HasUsableReplica(const shard_state& shard, instant now) const {
-  const auto next = NextPossibleSend(shard, now);
+  const auto next = NextPossibleSend(state_.replicas, shard.service, now);
   return next && *next <= now;
 }
 
 std::optional<instant> query_plan::NextPossibleStart(instant now) const {
   std::vector<instant> possible;
   for (const shard_state& shard : shards_) {
-    if (const auto next = NextPossibleSend(shard, now)) {
+    if (const auto next = NextPossibleSend(state_.replicas, shard.service, now)) {
       possible.push_back(*next);
     }
   }
@@ -145,7 +134,7 @@
   int usable_shards = 0;
   for (const shard_state& shard : shards_) {
     FindBudget(shard).OnRequest(state_.budget_limits, now);
-    const auto next = NextPossibleSend(shard, now);
+    const auto next = NextPossibleSend(state_.replicas, shard.service, now);
     usable_shards += next && *next <= now ? 1 : 0;
     limited_shards_ += next && *next > now ? 1 : 0;
   }
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -105,8 +105,6 @@
   void ChooseServices();
   /** Whether a usable server of the shard may be sent a request now. */
   bool HasUsableReplica(const shard_state& shard, instant now) const;
-  /** When a usable server of the shard may be sent a request; nullopt if there is none. */
-  std::optional<instant> NextPossibleSend(const shard_state& shard, instant now) const;
   /** When enough shards will have a server that may be sent a request; nullopt: not foreseeable. */
   std::optional<instant> NextPossibleStart(instant now) const;
   /** Leaves out shards that are expected to be late, at most as many as the answer may lack. */
--- a/src/liblimpetlever/query/replica_choice.cc
+++ b/src/liblimpetlever/query/replica_choice.cc
@@ -48,6 +48,19 @@
   return total;
 }
 
+std::optional<instant> NextPossibleSend(const replica_registry& replicas,
+                                        const std::string& service,
+                                        instant now) {
+  std::optional<instant> next;
+  for (const auto& record : replicas.FindByService(service)) {
+    if (record->is_usable) {
+      const instant possible = record->limit.NextSend(now);
+      next = std::min(next.value_or(possible), possible);
+    }
+  }
+  return next;
+}
+
 std::shared_ptr<replica_record> ChooseReplica(const replica_registry& replicas,
                                               const std::string& service,
                                               const std::vector<const replica_record*>& excluded,
--- a/src/liblimpetlever/query/replica_choice.h
+++ b/src/liblimpetlever/query/replica_choice.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_QUERY_REPLICA_CHOICE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,14 @@
                          const replica_choice_options& options,
                          instant now);
 
+/**
+ * When the limit of a usable server of `service` allows a request, `now` or later; nullopt if no
+ * server is usable.
+ */
+std::optional<instant> NextPossibleSend(const replica_registry& replicas,
+                                        const std::string& service,
+                                        instant now);
+
 /**
  * The usable server of `service` with the lowest expected latency that is not in `excluded` and
  * whose limit allows a request now; nullptr if there is none. Servers with almost equal latencies
