Store: a load does not go back, and a watch that cannot be read does not repeat

Cause: a host that reads everything again from a relay that is behind took removed keys for new ones, so that a server that had left was in use again. A watch whose answer is not readable (over the size limit of 4 MB) was sent again without end, and a page without a later key was read again at once. Ruled out: a load from the store itself, which is linearizable; a switch of the source during a watch. The handler is told when all items of an answer are applied.

--- a/tests/platform/test_store_relay.cc
+++ b/tests/platform/test_store_relay.cc
@@ -27,6 +27,7 @@
       relay_->Apply(item);
     }
   }
+  void OnAnswerApplied() override {}
   void OnItemChanged(const store_item& item) override {
     if (item.is_removed) {
       values.erase(item.key);
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -24,6 +24,7 @@
     }
   }
   void OnItemRead(const platform::store_item&) override {}
+  void OnAnswerApplied() override {}
   void OnLoaded(std::int64_t) override { ++loads; }
   void OnRevision(std::int64_t) override {}
   void OnCallFailed(int) override {
@@ -188,3 +189,45 @@
   fixture.RunUntil([&] { return fixture.recorded.values["k"] == "99"; });
   cr_assert(fixture.store.CallCount("/kv-watch") <= 5);
 }
+
+// Guards against a removed key that comes back: a host reads everything again, from a relay that is
+// behind and still holds the key.
+Test(store_watcher, a_load_from_an_older_copy_brings_no_removed_key_back) {
+  watcher_fixture fixture;
+  fixture.store.Write("kept", "1");
+  fixture.store.Write("removed", "1");
+  fixture.watcher.Start();
+  fixture.RunUntil([&] { return fixture.recorded.loads == 1; });
+  platform_store behind(fixture.loop);
+  behind.Write("kept", "1");
+  behind.Write("removed", "1");
+  fixture.store.Remove("removed");
+  fixture.RunUntil([&] { return !fixture.recorded.values.contains("removed"); });
+  bool has_failed = false;
+  fixture.recorded.on_failure = [&] {
+    has_failed = true;
+    fixture.watcher.SetSource(fixture.store.address(), false);
+  };
+  fixture.watcher.SetSource(behind.address(), true);
+  fixture.watcher.Reload();
+  fixture.RunUntil([&] { return fixture.recorded.loads == 2; });
+  cr_assert(has_failed, "the load from the older copy was accepted");
+  cr_assert(fixture.recorded.values.size() == 1 && fixture.recorded.values.contains("kept"));
+}
+
+// Guards against a host that no longer follows the store: the changes since its revision exceed the
+// size limit of an answer, so that each watch fails in the same way.
+Test(store_watcher, reads_everything_again_if_the_changes_are_too_large) {
+  constexpr std::size_t kLargestValue = 1024 * 1024;
+  watcher_fixture fixture;
+  fixture.watcher.Start();
+  fixture.RunUntil([&] { return fixture.recorded.loads == 1; });
+  fixture.store.SetMode(platform_store::mode_type::silent);
+  for (int i = 0; i < 8; ++i) {
+    fixture.store.Write("k", std::string(kLargestValue, 'x'));
+  }
+  fixture.store.Write("k", "small");
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.watcher.RestartWatch();
+  fixture.RunUntil([&] { return fixture.recorded.values["k"] == "small"; });
+}
