Readers: one odd entry of another writer neither ends a host nor stops it

Cause: DecodeReplica of an entry with 300,000 nested arrays exhausted the stack, as each JSON reader recursed by input; numbers such as warmupLeftMs 1e300, Deadline-Ms 2^63-1, Server-Load or an incarnation of 2^63-1 were converted or added outside the range of their types; an entry of a host could send callers to a port of 99999 or stand under the key of another host; log lines took texts of any length; one revision out of range in a datagram made a host renew its watch each second for good. Ruled out: ports of servers (refused before), Poco's reader of the older server (depth limit 32).

--- a/src/liblimpetlever/base/json_document.cc
+++ b/src/liblimpetlever/base/json_document.cc
@@ -7,7 +7,10 @@
 result<std::shared_ptr<rapidjson::Document>> ParseJsonObject(std::string_view text,
                                                              std::string_view source) {
   auto document = std::make_shared<rapidjson::Document>();
-  document->Parse<rapidjson::kParseCommentsFlag>(text.data(), text.size());
+  // The recursive parser would exhaust the stack on a deeply nested text.
+  constexpr unsigned kIterativeFlags =
+      rapidjson::kParseCommentsFlag | rapidjson::kParseIterativeFlag;
+  document->Parse<kIterativeFlags>(text.data(), text.size());
   const auto invalid = std::make_error_code(std::errc::invalid_argument);
   if (document->HasParseError()) {
     return failure{invalid, std::string(source) + ", byte " +
--- a/src/liblimpetlever/control/control_listener.h
+++ b/src/liblimpetlever/control/control_listener.h
@@ -33,6 +33,8 @@
    * entry for that id is no longer valid.
    */
   virtual void OnReplicaRefused(const std::string& id, const failure& reason) = 0;
+  /** An entry of the store under `key` that is not one of a server cannot be read. */
+  virtual void OnEntryRefused(const std::string& key, const failure& reason) = 0;
   virtual void OnDataCentresTakenOut(std::set<std::string> data_centres) = 0;
   /** The hosts that are currently registered; replaces the previous list. */
   virtual void OnHostsChanged(const std::vector<gossip_entry>& hosts) = 0;
--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -114,6 +114,8 @@
       return "data_centres_taken_out";
     case event_number::request_limit_changed:
       return "request_limit_changed";
+    case event_number::store_entry_refused:
+      return "store_entry_refused";
     case event_number::store_lost:
       return "store_lost";
     case event_number::store_regained:
@@ -191,6 +193,7 @@
       event_number::replica_entry_refused,
       event_number::data_centres_taken_out,
       event_number::request_limit_changed,
+      event_number::store_entry_refused,
       event_number::store_lost,
       event_number::store_regained,
       event_number::store_history_lost,
--- a/src/liblimpetlever/events/log_line.cc
+++ b/src/liblimpetlever/events/log_line.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Texts may come from entries of other writers or from callers.
+constexpr std::size_t kMaxTextBytes = 1024;
+
 void AppendNumber(std::string& out, std::int64_t number) {
   std::array<char, 24> text{};
   const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), number);
@@ -24,7 +27,7 @@
 void AppendText(std::string& out, std::string_view text) {
   constexpr std::string_view kHex = "0123456789abcdef";
   out += '"';
-  for (const char c : text) {
+  for (const char c : text.substr(0, kMaxTextBytes)) {
     const auto byte = static_cast<unsigned char>(c);
     if (c == '"' || c == '\\') {
       out += '\\';
@@ -37,6 +40,9 @@
       out += c;
     }
   }
+  if (text.size() > kMaxTextBytes) {
+    out += "...";
+  }
   out += '"';
 }
 
--- a/src/liblimpetlever/limits/crash_report.cc
+++ b/src/liblimpetlever/limits/crash_report.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <string_view>
 
+#include "base/bounded_number.h"
+
 namespace limpetlever {
 
 namespace {
@@ -11,6 +13,8 @@
 constexpr std::string_view kPrefix = "crash/";
 constexpr std::size_t kHexDigits = 16;
 constexpr int kHexBase = 16;
+// Keys of the platform's store have at most 200 bytes.
+constexpr std::size_t kMaxKeyBytes = 200;
 
 }  // namespace
 
@@ -26,7 +30,8 @@
 std::optional<crash_report> ParseCrashReport(const gossip_entry& entry) {
   constexpr std::size_t kServerAt = kPrefix.size() + kHexDigits + 1;
   if (!entry.key.starts_with(kPrefix) || entry.key.size() < kServerAt ||
-      entry.key[kServerAt - 1] != '/' || entry.version < 0) {
+      entry.key.size() > kMaxKeyBytes || entry.key[kServerAt - 1] != '/' || entry.version < 0 ||
+      entry.version > kMaxOutsideNumber) {
     return std::nullopt;
   }
   crash_report report{.fingerprint = 0,
--- a/src/liblimpetlever/membership/member_entry.cc
+++ b/src/liblimpetlever/membership/member_entry.cc
@@ -2,6 +2,10 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
+
+#include "base/bounded_number.h"
+#include "base/socket_address.h"
 
 namespace limpetlever {
 
@@ -12,6 +16,22 @@
 // The last field, the processor share, is optional: older hosts do not send it.
 constexpr std::size_t kMinFields = 4;
 constexpr std::size_t kMaxFields = 5;
+// Keys of the platform's store have at most 200 bytes.
+constexpr std::size_t kMaxNameBytes = 200;
+constexpr int kMaxProcessorShare = 1'024'000;  // 1,024 cores
+
+/** 0 if `text` is empty, nullopt if it is not a processor share. */
+std::optional<int> ParseProcessorShare(const std::string& text) {
+  int share = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), share);
+  const bool is_valid = error == std::errc() && end == text.data() + text.size() && share >= 0 &&
+                        share <= kMaxProcessorShare;
+  return text.empty() ? std::optional(0) : is_valid ? std::optional(share) : std::nullopt;
+}
+
+bool IsInRange(std::int64_t number) {
+  return number >= 0 && number <= kMaxOutsideNumber;
+}
 
 }  // namespace
 
@@ -26,7 +46,10 @@
 }
 
 std::optional<member> ParseMember(const gossip_entry& entry) {
-  if (!entry.key.starts_with(kKeyPrefix) || entry.version < 0) {
+  constexpr std::size_t kNameAt = sizeof(kKeyPrefix) - 1;
+  if (!entry.key.starts_with(kKeyPrefix) || entry.key.size() == kNameAt ||
+      entry.key.size() > kNameAt + kMaxNameBytes || !IsInRange(entry.version) ||
+      !IsInRange(entry.incarnation)) {
     return std::nullopt;
   }
   std::array<std::string, kMaxFields> fields;
@@ -41,16 +64,18 @@
   if (index + 1 < kMinFields) {
     return std::nullopt;
   }
-  int processor_share = 0;
-  std::from_chars(fields[4].data(), fields[4].data() + fields[4].size(), processor_share);
-  return member{.name = entry.key.substr(sizeof(kKeyPrefix) - 1),
+  const auto processor_share = ParseProcessorShare(fields[4]);
+  if (!processor_share || !ParseSocketAddress(fields[2]) || !ParseSocketAddress(fields[3])) {
+    return std::nullopt;
+  }
+  return member{.name = entry.key.substr(kNameAt),
                 .region = fields[0],
                 .data_centre = fields[1],
                 .http_address = fields[2],
                 .peer_address = fields[3],
                 .incarnation = entry.incarnation,
                 .state = static_cast<member_state>(entry.version % 4),
-                .processor_share = processor_share};
+                .processor_share = *processor_share};
 }
 
 std::int64_t RefutationRound(const gossip_entry& entry) {
--- a/src/liblimpetlever/membership/peer_message.cc
+++ b/src/liblimpetlever/membership/peer_message.cc
@@ -6,6 +6,8 @@
 
 #include <utility>
 
+#include "base/bounded_number.h"
+
 namespace limpetlever {
 
 namespace {
@@ -55,20 +57,22 @@
 
 std::optional<peer_message> DecodePeerMessage(std::string_view bytes) {
   rapidjson::Document document;
-  document.Parse(bytes.data(), bytes.size());
+  // The recursive parser would use a stack frame for each byte of a deeply nested message.
+  document.Parse<rapidjson::kParseIterativeFlag>(bytes.data(), bytes.size());
   if (document.HasParseError() || !document.IsArray() || document.Size() != kMessageFields ||
       !document[0].IsInt() || !document[1].IsUint64() || !document[2].IsString() ||
       !document[3].IsInt64() || !document[4].IsArray()) {
     return std::nullopt;
   }
   const int kind = document[0].GetInt();
-  if (kind < 0 || kind > kLastKind) {
+  const std::int64_t revision = document[3].GetInt64();
+  if (kind < 0 || kind > kLastKind || revision < 0 || revision > kMaxOutsideNumber) {
     return std::nullopt;
   }
   peer_message message{.kind = static_cast<peer_message::kind_type>(kind),
                        .probe_id = document[1].GetUint64(),
                        .target = {document[2].GetString(), document[2].GetStringLength()},
-                       .revision = document[3].GetInt64()};
+                       .revision = revision};
   for (const auto& json : document[4].GetArray()) {
     auto entry = ReadEntry(json);
     if (!entry) {
--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -60,6 +60,9 @@
       connections_opened_(AddCounter(*registry_,
                                      "limpetlever_connections_opened_total",
                                      "Connections opened to backend servers")),
+      entries_refused_(AddCounter(*registry_,
+                                  "limpetlever_store_entries_refused_total",
+                                  "Entries of the store that cannot be read")),
       store_reachable_(
           AddGauge(*registry_, "limpetlever_store_reachable", "1 while the store answers")),
       config_version_(AddGauge(*registry_,
@@ -109,6 +112,10 @@
   connections_opened_.Increment();
 }
 
+void node_metrics::OnEntryRefused() {
+  entries_refused_.Increment();
+}
+
 void node_metrics::SetStoreReachable(bool is_reachable) {
   store_reachable_.Set(is_reachable ? 1.0 : 0.0);
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -37,6 +37,8 @@
   /** Counts `count` hedges or retries that the retry budget did not allow. */
   void OnRetryBudgetExhausted(int count);
   void OnConnectionOpened();
+  /** Counts an entry of the store that cannot be read. */
+  void OnEntryRefused();
   void SetStoreReachable(bool is_reachable);
   void SetConfigVersion(double version);
   /** Number of backend servers known to this host. */
@@ -60,6 +62,7 @@
   prometheus::Counter& attempts_failed_;
   prometheus::Counter& retry_budget_exhausted_;
   prometheus::Counter& connections_opened_;
+  prometheus::Counter& entries_refused_;
   prometheus::Gauge& store_reachable_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& backend_servers_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -307,7 +307,7 @@
       source_.OnFailed(loop_.Now());
       UpdateSource("behind");
     }
-    peers_.SetRevision(announced_revision_);
+    peers_.OnRenewed();
   }
 }
 
@@ -419,8 +419,14 @@
   }
 }
 
+void node_server::OnEntryRefused(const std::string& key, const failure& reason) {
+  metrics_.OnEntryRefused();
+  log_.Record(event_number::store_entry_refused, {{"key", key}, {"message", reason.message}});
+}
+
 void node_server::OnReplicaRefused(const std::string& id, const failure& reason) {
   replicas_.Remove(id);
+  metrics_.OnEntryRefused();
   log_.Record(event_number::replica_entry_refused, {{"replica", id}, {"message", reason.message}});
 }
 
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -89,6 +89,7 @@
   void OnReplicaChanged(const replica& registered) override;
   void OnReplicaRemoved(const std::string& id) override;
   void OnReplicaRefused(const std::string& id, const failure& reason) override;
+  void OnEntryRefused(const std::string& key, const failure& reason) override;
   void OnDataCentresTakenOut(std::set<std::string> data_centres) override;
   void OnHostsChanged(const std::vector<gossip_entry>& hosts) override;
   void OnCrashReported(const gossip_entry& report) override;
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -34,6 +34,12 @@
 // Hosts to which one host sends a new revision. As every host does so, each one receives it.
 constexpr std::size_t kRevisionFanOut = 16;
 
+// Renewals after which a revision that another host has named, and that no source has reached, is
+// taken for an error of that host.
+constexpr int kMaxRenewals = 3;
+// A wall clock is wrong by seconds. An incarnation that is further ahead is not one of this host.
+constexpr duration kMaxClockError = std::chrono::hours(24);
+
 // Key of an update on a backend server that no longer names a limit; its id follows.
 constexpr std::string_view kLimitEndedPrefix = "limit-ended/";
 
@@ -163,6 +169,10 @@
   if (!host || host->name != self_.name || host->incarnation <= self_.incarnation) {
     return;
   }
+  const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+  if (host->incarnation > (now + kMaxClockError).time_since_epoch().count()) {
+    return;
+  }
   self_.incarnation = host->incarnation + 1;
   tracker_ = member_tracker(self_, ++seed_, loop_.Now());
   reported_change_count_ = 0;
@@ -247,6 +257,15 @@
 void peer_service::SetRevision(std::int64_t revision) {
   revision_ = revision;
   behind_since_ = loop_.Now();
+  renewals_ = 0;
+}
+
+void peer_service::OnRenewed() {
+  behind_since_ = loop_.Now();
+  if (++renewals_ >= kMaxRenewals) {
+    newest_peer_revision_ = revision_;
+    renewals_ = 0;
+  }
 }
 
 void peer_service::AnnounceRevision() {
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -83,6 +83,11 @@
   void AnnounceRevision();
   /** Whether another host has a newer store revision that did not arrive here within 1 s. */
   bool IsBehind() const;
+  /**
+   * To be called when this host has renewed its watch because IsBehind(). After some renewals the
+   * newer revision is taken for an error of the host that named it.
+   */
+  void OnRenewed();
   /** This host's own entry, to be registered in the store. */
   gossip_entry SelfEntry() const;
 
@@ -138,6 +143,8 @@
   std::int64_t revision_ = 0;
   /** The newest store revision in a message of another host. */
   std::int64_t newest_peer_revision_ = 0;
+  /** Calls of OnRenewed since the revision of this host has changed. */
+  int renewals_ = 0;
   /** When this host learned of a newer revision, or last set its own. */
   instant behind_since_;
   timer_service::timer_id tick_ = 0;
--- /dev/null
+++ b/tests/node/test_odd_entries.cc
@@ -0,0 +1,89 @@
+#include "host_fixture.h"
+
+using namespace limpetlever;
+
+namespace {
+
+constexpr int kOddEntries = 9;
+constexpr std::size_t kDeepNesting = 200'000;
+
+void WriteOddEntries(host_fixture& fixture) {
+  const std::string deep(kDeepNesting, '[');
+  fixture.WriteToStore("servers/deep", deep);
+  fixture.WriteToStore("servers/large", R"({"service":"single","address":"127.0.0.1:80","zone":")" +
+                                            std::string(500'000, 'x') +
+                                            R"(","slots":2,"state":"ready"})");
+  fixture.WriteToStore("servers/number",
+                       R"({"service":"single","address":"127.0.0.1:80","zone":"dc-a","slots":2,)"
+                       R"("state":"ready","born":1e300})");
+  fixture.WriteToStore("servers/port",
+                       R"({"service":"single","address":"127.0.0.1:99999","zone":"dc-a",)"
+                       R"("slots":2,"state":"ready"})");
+  fixture.WriteToStore("hosts/deep", deep);
+  fixture.WriteToStore("hosts/number",
+                       R"({"key":"member/number","incarnation":9223372036854775807,"version":0,)"
+                       R"("value":"r\ndc-a\n127.0.0.1:80\n127.0.0.1:81"})");
+  fixture.WriteToStore("hosts/port", R"({"key":"member/port","incarnation":5,"version":0,)"
+                                     R"("value":"r\ndc-a\n127.0.0.1:99999\n127.0.0.1:81"})");
+  fixture.WriteToStore("crash/deep", deep);
+  fixture.WriteToStore("crash/number", R"({"key":"crash/00000000000000ff/a1","incarnation":0,)"
+                                       R"("version":9223372036854775807,"value":"mark"})");
+  fixture.WriteToStore("op/evacuate/" + std::string(100, 'x'), deep);
+}
+
+}  // namespace
+
+// Guards against a host that ends, or no longer follows the store, because of entries of another
+// writer.
+Test(odd_entries, do_not_end_a_host_or_its_watch) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  WriteOddEntries(fixture);
+  while (fixture.Metric("limpetlever_store_entries_refused_total") < kOddEntries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  cr_assert(fixture.SendRequest("GET", "/q/1", "id-1").status == 200);
+  cr_assert(fixture.SendRequest("GET", "/i/1", "id-2").status == 200);
+  fixture.WriteToStore("op/evacuate/dc-a", "");
+  while (fixture.SendRequest("GET", "/i/1", "id-3").status != 503) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  cr_assert(fixture.Metric("limpetlever_store_entries_refused_total") == kOddEntries,
+            "each entry is counted once");
+}
+
+// Guards against a host that cannot start while such entries are in the store.
+Test(odd_entries, do_not_keep_a_host_from_starting) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  WriteOddEntries(fixture);
+  while (fixture.Metric("limpetlever_store_entries_refused_total") < kOddEntries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  kill(getpid(), SIGTERM);
+  fixture.WaitUntilStopped();
+  fixture.StartHost();
+  fixture.WaitUntilReady();
+  cr_assert(fixture.SendRequest("GET", "/q/1", "id-1").status == 200);
+}
+
+// Guards against requests to a server whose entry was replaced by one that cannot be read, and
+// against one that is not used again after it has registered again.
+Test(odd_entries, an_entry_that_replaces_that_of_a_server_names_none) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  const auto refused = [&fixture] {
+    return fixture.Metric("limpetlever_store_entries_refused_total");
+  };
+  fixture.WriteToStore("servers/s1", "{}");
+  fixture.WriteToStore("servers/s2", "{}");
+  while (refused() < 2) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  cr_assert(fixture.SendRequest("GET", "/i/1", "id-1").status == 503);
+  cr_assert(fixture.SendRequest("GET", "/q/1", "id-2").status == 200, "the other servers hold");
+  fixture.RegisterServer("s1");
+  while (fixture.SendRequest("GET", "/i/1", "id-3").status != 200) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
