Codec: a 503 of a server that may have run the request is no refusal

Cause: the status of a server's answer was passed on as it was. A server that fails with 408, 421, 429 or 503 without declaring that it has not run the request made its caller believe that, and send a request again that must run once. Ruled out: an answer that was lost after a refusal; the plan reports it as may have run.

--- a/tests/platform/test_request_codec.cc
+++ b/tests/platform/test_request_codec.cc
@@ -147,3 +147,21 @@
                "HTTP/1.1 421 Misdirected Request\r\nServer-Limit: 1\r\nContent-Length: 0\r\n\r\n");
   cr_assert(!platform::ParseReply(*other).request_limit, "of another server at the address");
 }
+
+// Guards against a status that states that a request has not run, for an answer of a server that
+// does not declare it: the caller would send a request again that may have run.
+Test(request_codec, a_status_that_denies_a_run_needs_the_servers_word) {
+  const route query_route;
+  for (const int status : {408, 421, 429, 503}) {
+    query_outcome outcome;
+    outcome.result = Ran();
+    outcome.reply = replica_reply{.status = status, .signature = "seal", .body = "text"};
+    const auto answer = platform::WriteQueryAnswer(query_route, outcome, {});
+    cr_assert(answer.status == 502, "%d gave %d", status, answer.status);
+    cr_assert(answer.head.find("Response-Seal") == std::string::npos && answer.body.empty());
+  }
+  query_outcome outcome;
+  outcome.result = Ran();
+  outcome.reply = replica_reply{.status = 500, .signature = "seal", .body = "text"};
+  cr_assert(platform::WriteQueryAnswer(query_route, outcome, {}).status == 500);
+}
