Limits: one place decides which servers get requests; leaving servers and pauses are kept

Cause: no code read Server-Leaving or the Retry-After of a server, so that this host went on sending to a server that leaves until its entry changed, and to one that had asked for a pause at once. Which servers may be asked stood in several places of query/ and the registry, and a reply that named another server at the address was undone by the next entry. Weighed: telling the other hosts of a leaving server (decision 0012); a last server that leaves as a last resort (the users count it as gone).

--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -69,6 +69,7 @@
   data_centres_taken_out = 925,
   request_limit_changed = 926,
   store_entry_refused = 927,
+  replica_excluded = 928,
   store_lost = 930,
   store_regained = 931,
   store_history_lost = 932,
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -7,6 +7,7 @@
 #include "base/random_source.h"
 #include "config/route_table.h"
 #include "query/query_state.h"
+#include "replicas/admission.h"
 #include "replicas/replica_record.h"
 #include "replicas/replica_registry.h"
 
@@ -43,6 +44,18 @@
   return status / 100;
 }
 
+/** For example " 2 leaving, 1 limit". */
+std::string DescribeExclusions(const std::array<int, kExclusionCount>& counts) {
+  std::string text;
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const auto reason = static_cast<exclusion>(i);
+    if (reason != exclusion::none && counts[i] > 0) {
+      text += (text.empty() ? " " : ", ") + std::to_string(counts[i]) + " " + ToString(reason);
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
 query_plan::query_plan(std::shared_ptr<const route_table> table,
@@ -110,15 +123,14 @@
   return route_.IsSharded() ? std::max(1, needed) : 1;
 }
 
-bool query_plan::HasUsableReplica(const shard_state& shard, instant now) const {
-  const auto next = NextPossibleSend(state_.replicas, shard.service, now);
-  return next && *next <= now;
+bool query_plan::MayAsk(const shard_state& shard, instant now) const {
+  return CheckAdmission(state_.replicas, shard.service, now).MaySend(now);
 }
 
 std::optional<instant> query_plan::NextPossibleStart(instant now) const {
   std::vector<instant> possible;
   for (const shard_state& shard : shards_) {
-    if (const auto next = NextPossibleSend(state_.replicas, shard.service, now)) {
+    if (const auto next = CheckAdmission(state_.replicas, shard.service, now).next) {
       possible.push_back(*next);
     }
   }
@@ -132,19 +144,16 @@
 
 void query_plan::Start(instant now, action_list& actions) {
   int usable_shards = 0;
+  exclusion_counts excluded{};
   for (const shard_state& shard : shards_) {
     FindBudget(shard).OnRequest(state_.budget_limits, now);
-    const auto next = NextPossibleSend(state_.replicas, shard.service, now);
-    usable_shards += next && *next <= now ? 1 : 0;
-    limited_shards_ += next && *next > now ? 1 : 0;
+    const admission best = CheckAdmission(state_.replicas, shard.service, now);
+    usable_shards += best.MaySend(now) ? 1 : 0;
+    limited_shards_ += best.next && !best.MaySend(now) ? 1 : 0;
+    ++excluded[static_cast<std::size_t>(best.reason)];
   }
   if (usable_shards < NeededParts()) {
-    const auto next_start = NextPossibleStart(now);
-    outcome_.retry_after =
-        next_start ? std::min(*next_start - now, kMaxLimitRetryAfter) : duration::zero();
-    Fail(errc::no_replica,
-         next_start ? "the limits of backend servers allow too few shards"
-                    : "too few shards have a usable backend server",
+    Fail(errc::no_replica, "too few shards may be asked:" + DescribeExclusions(excluded), now,
          actions);
     return;
   }
@@ -163,7 +172,7 @@
   options.stall_limit = duration::max();
   duration min_latency = duration::max();
   for (const auto& record : state_.replicas.FindByService(shard.service)) {
-    if (record->is_usable && record->limit.MaySend(now)) {
+    if (CheckAdmission(*record, now).MaySend(now)) {
       min_latency = std::min(min_latency, ExpectedLatency(*record, options, now));
     }
   }
@@ -184,7 +193,7 @@
   };
   std::vector<late_shard> late;
   for (std::size_t i = 0; i < shards_.size(); ++i) {
-    if (!HasUsableReplica(shards_[i], now)) {
+    if (!MayAsk(shards_[i], now)) {
       continue;
     }
     const duration expected = ExpectedShardLatency(shards_[i], now);
@@ -246,6 +255,7 @@
   attempts_.push_back({.shard = shard_index, .target = target, .sent = now});
   target->load.OnSent(now);
   target->limit.OnSent(now);
+  target->pause.OnSent(now);
   remote_attempts_ += target->is_local ? 0 : 1;
   actions.push_back({.kind = query_action::kind_type::send,
                      .attempt = attempt,
@@ -264,11 +274,16 @@
                          instant now,
                          action_list& actions) {
   attempt_state& item = attempts_[attempt];
+  replica_record& record = *item.target;
+  // Also holds in an answer that comes too late for the query.
+  ApplyNotice(record, reply.notice, now, state_.random.Unit());
   if (!item.is_open) {
     return;
   }
   CloseAttempt(item);
-  replica_record& record = *item.target;
+  if (!reply.notice.pause && !reply.is_misdirected) {
+    record.pause.OnNotAsked(item.sent);
+  }
   if (reply.load) {
     record.load.OnReport(*reply.load, now);
   }
@@ -285,9 +300,7 @@
   } else {
     record.load.OnFailed(item.sent, now);
   }
-  if (reply.is_misdirected) {
-    record.is_usable = false;
-  }
+  record.is_misdirected = record.is_misdirected || reply.is_misdirected;
   may_have_run_ = may_have_run_ || !reply.is_not_run;
   shard_state& shard = shards_[item.shard];
   if (is_done_ || shard.is_answered) {
@@ -300,7 +313,7 @@
     RecordAnswer(item.shard, std::move(reply));
   } else {
     if (!route_.IsSharded() && !reply.is_not_run) {
-      last_refusal_ = std::move(reply);
+      last_failure_ = std::move(reply);
     }
     Retry(item.shard, true, now, actions);
   }
@@ -330,6 +343,28 @@
   FinishIfPossible(now, actions);
 }
 
+bool query_plan::Move(std::uint32_t attempt, instant now, action_list& actions) {
+  attempt_state& item = attempts_[attempt];
+  shard_state& shard = shards_[item.shard];
+  if (!item.is_open || is_done_ || shard.is_answered || shard.sends >= kMaxSendsPerShard) {
+    return false;
+  }
+  // Nothing was sent to this server, so that it does not count as one that was asked.
+  std::erase(shard.tried, item.target.get());
+  const bool has_other = static_cast<int>(shard.tried.size()) < route_.max_attempts &&
+                         ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_,
+                                       state_.random, now) != nullptr;
+  if (!has_other) {
+    shard.tried.push_back(item.target.get());
+    return false;
+  }
+  CloseAttempt(item);
+  item.target->load.OnWithdrawn(item.sent);
+  --shard.sends;
+  const std::size_t shard_index = item.shard;
+  return Send(shard_index, send_reason::moved, now, actions);
+}
+
 void query_plan::OnCancelled(std::uint32_t attempt, instant now) {
   attempt_state& item = attempts_[attempt];
   if (item.is_open) {
@@ -411,9 +446,9 @@
   if (answered_ >= needed && (is_settled || now >= answer_by_)) {
     Finish(actions);
   } else if (count - lost_ < needed) {
-    Fail(errc::backend_error, "too many shards have no answer", actions);
+    Fail(errc::backend_error, "too many shards have no answer", now, actions);
   } else if (now >= deadline_) {
-    Fail(errc::deadline_exceeded, "the deadline has passed", actions);
+    Fail(errc::deadline_exceeded, "the deadline has passed", now, actions);
   }
 }
 
@@ -438,15 +473,24 @@
   EndQuery(actions);
 }
 
-void query_plan::Fail(errc reason, std::string detail, action_list& actions) {
-  const bool is_open = std::any_of(attempts_.begin(), attempts_.end(),
-                                   [](const attempt_state& item) { return item.is_open; });
-  if (may_have_run_ || is_open) {
+bool query_plan::MayHaveBeenRun() const {
+  for (std::uint32_t i = 0; i < attempts_.size() && !may_have_run_; ++i) {
+    if (attempts_[i].is_open && (!was_sent_ || was_sent_(i))) {
+      return true;
+    }
+  }
+  return may_have_run_;
+}
+
+void query_plan::Fail(errc reason, std::string detail, instant now, action_list& actions) {
+  if (MayHaveBeenRun()) {
     outcome_.result = MayHaveRun(reason, std::move(detail));
   } else {
     outcome_.result = NotRun(reason, std::move(detail));
+    const auto next = NextPossibleStart(now);
+    outcome_.retry_after = next ? std::min(*next - now, kMaxLimitRetryAfter) : duration::zero();
   }
-  outcome_.reply = std::move(last_refusal_);
+  outcome_.reply = std::move(last_failure_);
   EndQuery(actions);
 }
 
@@ -465,14 +509,14 @@
   FinishIfPossible(now, actions);
 }
 
-void query_plan::OnHostStopping(action_list& actions) {
+void query_plan::OnHostStopping(instant now, action_list& actions) {
   if (is_done_) {
     return;
   }
   if (answered_ >= NeededParts()) {
     Finish(actions);
   } else {
-    Fail(errc::deadline_exceeded, "this host stops", actions);
+    Fail(errc::deadline_exceeded, "this host stops", now, actions);
   }
 }
 
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -1,7 +1,9 @@
 #ifndef LIMPETLEVER_QUERY_QUERY_PLAN_H_
 #define LIMPETLEVER_QUERY_QUERY_PLAN_H_
 
+#include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +15,7 @@
 #include "query/query_action.h"
 #include "query/query_outcome.h"
 #include "query/replica_choice.h"
+#include "replicas/exclusion.h"
 
 namespace limpetlever {
 
@@ -50,10 +53,15 @@
   void OnReply(std::uint32_t attempt, replica_reply reply, instant now, action_list& actions);
   /** `attempt` ended without a valid answer. */
   void OnFailure(std::uint32_t attempt, attempt_failure failure, instant now, action_list& actions);
+  /**
+   * The server of `attempt`, which was not sent yet, is no longer in use. Sends the request to
+   * another server of the shard and returns true, or returns false if there is none.
+   */
+  bool Move(std::uint32_t attempt, instant now, action_list& actions);
   /** This host cancelled `attempt` before its answer arrived. */
   void OnCancelled(std::uint32_t attempt, instant now);
   /** Ends the query with what has been answered, since this host is about to stop. */
-  void OnHostStopping(action_list& actions);
+  void OnHostStopping(instant now, action_list& actions);
   /** Sends due hedges and ends the query when it is due; to be called at NextTimer(). */
   void OnTimer(instant now, action_list& actions);
   /**
@@ -61,6 +69,13 @@
    * answer.
    */
   void ForbidRetries() { may_retry_ = false; }
+  /**
+   * Sets the function that tells whether the request of an open attempt was written to its server.
+   * Without one, each open attempt counts as written.
+   */
+  void SetSentCheck(std::function<bool(std::uint32_t attempt)> was_sent) {
+    was_sent_ = std::move(was_sent);
+  }
   /** When OnTimer must be called next; nullopt once the query has ended. */
   std::optional<instant> NextTimer() const;
 
@@ -79,7 +94,7 @@
   int budget_refusals() const { return budget_refusals_; }
   /** Number of shards that were not asked because they were expected to answer too late. */
   int omitted_shards() const { return omitted_shards_; }
-  /** Number of shards that were not asked because their servers' limits did not allow it. */
+  /** Number of shards that were not asked because their servers limit requests or want a pause. */
   int limited_shards() const { return limited_shards_; }
 
  private:
@@ -103,8 +118,10 @@
   };
 
   void ChooseServices();
-  /** Whether a usable server of the shard may be sent a request now. */
-  bool HasUsableReplica(const shard_state& shard, instant now) const;
+  using exclusion_counts = std::array<int, kExclusionCount>;
+
+  /** Whether a server of the shard may be sent a request now. */
+  bool MayAsk(const shard_state& shard, instant now) const;
   /** When enough shards will have a server that may be sent a request; nullopt: not foreseeable. */
   std::optional<instant> NextPossibleStart(instant now) const;
   /** Leaves out shards that are expected to be late, at most as many as the answer may lack. */
@@ -119,7 +136,9 @@
   void MarkLost(std::size_t shard);
   void FinishIfPossible(instant now, action_list& actions);
   void Finish(action_list& actions);
-  void Fail(errc reason, std::string detail, action_list& actions);
+  void Fail(errc reason, std::string detail, instant now, action_list& actions);
+  /** Whether a server may have run the request. */
+  bool MayHaveBeenRun() const;
   void EndQuery(action_list& actions);
   void CloseAttempt(attempt_state& item);
   int NeededParts() const;
@@ -138,7 +157,9 @@
   query_outcome outcome_;
   /** Answers of the shards, one each, in the order of arrival. */
   std::vector<replica_reply> parts_;
-  std::optional<replica_reply> last_refusal_;
+  /** The last answer of a server of an unsharded route that ran the request and failed. */
+  std::optional<replica_reply> last_failure_;
+  std::function<bool(std::uint32_t)> was_sent_;
   bool may_have_run_ = false;
   bool may_retry_ = true;
   bool is_done_ = false;
--- a/src/liblimpetlever/query/replica_choice.cc
+++ b/src/liblimpetlever/query/replica_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/random_source.h"
+#include "replicas/admission.h"
 #include "replicas/replica_record.h"
 #include "replicas/replica_registry.h"
 
@@ -48,19 +49,6 @@
   return total;
 }
 
-std::optional<instant> NextPossibleSend(const replica_registry& replicas,
-                                        const std::string& service,
-                                        instant now) {
-  std::optional<instant> next;
-  for (const auto& record : replicas.FindByService(service)) {
-    if (record->is_usable) {
-      const instant possible = record->limit.NextSend(now);
-      next = std::min(next.value_or(possible), possible);
-    }
-  }
-  return next;
-}
-
 std::shared_ptr<replica_record> ChooseReplica(const replica_registry& replicas,
                                               const std::string& service,
                                               const std::vector<const replica_record*>& excluded,
@@ -70,7 +58,7 @@
   std::shared_ptr<replica_record> best;
   double best_cost = 0.0;
   for (const auto& record : replicas.FindByService(service)) {
-    if (!record->is_usable || !record->limit.MaySend(now) ||
+    if (!CheckAdmission(*record, now).MaySend(now) ||
         std::find(excluded.begin(), excluded.end(), record.get()) != excluded.end()) {
       continue;
     }
--- a/src/liblimpetlever/query/replica_choice.h
+++ b/src/liblimpetlever/query/replica_choice.h
@@ -2,7 +2,6 @@
 #define LIMPETLEVER_QUERY_REPLICA_CHOICE_H_
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,17 +35,9 @@
                          instant now);
 
 /**
- * When the limit of a usable server of `service` allows a request, `now` or later; nullopt if no
- * server is usable.
- */
-std::optional<instant> NextPossibleSend(const replica_registry& replicas,
-                                        const std::string& service,
-                                        instant now);
-
-/**
- * The usable server of `service` with the lowest expected latency that is not in `excluded` and
- * whose limit allows a request now; nullptr if there is none. Servers with almost equal latencies
- * are chosen between at random.
+ * The server of `service` with the lowest expected latency that is not in `excluded` and may be
+ * sent a request now (CheckAdmission); nullptr if there is none. Servers with almost equal
+ * latencies are chosen between at random.
  */
 std::shared_ptr<replica_record> ChooseReplica(const replica_registry& replicas,
                                               const std::string& service,
--- a/src/liblimpetlever/query/replica_reply.h
+++ b/src/liblimpetlever/query/replica_reply.h
@@ -8,6 +8,7 @@
 
 #include "base/time_types.h"
 #include "replicas/reported_load.h"
+#include "replicas/server_notice.h"
 
 namespace limpetlever {
 
@@ -27,6 +28,7 @@
   std::optional<reported_load> load;
   /** Requests per second that the server takes from all hosts together, if the answer names it. */
   std::optional<double> request_limit;
+  server_notice notice;
 
   bool operator==(const replica_reply&) const = default;
 };
--- a/src/liblimpetlever/query/send_reason.cc
+++ b/src/liblimpetlever/query/send_reason.cc
@@ -10,6 +10,8 @@
       return "hedge";
     case send_reason::retry:
       return "retry";
+    case send_reason::moved:
+      return "moved";
   }
   return "unknown";
 }
--- /dev/null
+++ b/src/liblimpetlever/replicas/admission.cc
@@ -0,0 +1,67 @@
+#include "replicas/admission.h"
+
+#include <algorithm>
+
+#include "replicas/replica_record.h"
+#include "replicas/replica_registry.h"
+#include "replicas/server_notice.h"
+
+namespace limpetlever {
+
+exclusion LastingExclusion(const replica_record& record) {
+  if (!record.is_registered) {
+    return exclusion::not_registered;
+  }
+  if (record.is_misdirected) {
+    return exclusion::misdirected;
+  }
+  if (record.is_data_centre_out) {
+    return exclusion::data_centre_out;
+  }
+  if (record.registered.is_draining) {
+    return exclusion::draining;
+  }
+  return record.is_leaving ? exclusion::leaving : exclusion::none;
+}
+
+bool IsUsable(const replica_record& record) {
+  return LastingExclusion(record) == exclusion::none;
+}
+
+admission CheckAdmission(const replica_record& record, instant now) {
+  if (const exclusion lasting = LastingExclusion(record); lasting != exclusion::none) {
+    return {.reason = lasting, .next = std::nullopt};
+  }
+  const instant after_pause = record.pause.NextSend(now);
+  const instant within_limit = record.limit.NextSend(now);
+  const instant next = std::max(after_pause, within_limit);
+  if (next <= now) {
+    return {.reason = exclusion::none, .next = now};
+  }
+  return {.reason = after_pause >= within_limit ? exclusion::pause : exclusion::limit,
+          .next = next};
+}
+
+admission CheckAdmission(const replica_registry& replicas,
+                         const std::string& service,
+                         instant now) {
+  admission best{.reason = exclusion::not_registered, .next = std::nullopt};
+  for (const auto& record : replicas.FindByService(service)) {
+    const admission server = CheckAdmission(*record, now);
+    const bool is_first = best.reason == exclusion::not_registered && !best.next;
+    const bool is_sooner = server.next && (!best.next || *server.next < *best.next);
+    if (is_first || is_sooner) {
+      best = server;
+    }
+  }
+  return best;
+}
+
+void ApplyNotice(replica_record& record, const server_notice& notice, instant now, double spread) {
+  record.is_leaving = record.is_leaving || notice.is_leaving;
+  if (notice.pause) {
+    record.pause.OnAsked(*notice.pause, now, spread);
+  }
+}
+
+}  // namespace limpetlever
--- a/src/liblimpetlever/replicas/replica_load.h
+++ b/src/liblimpetlever/replicas/replica_load.h
@@ -21,6 +21,8 @@
   void OnAnswered(instant sent, instant now, duration typical_latency);
   /** The attempt sent at `sent` failed or was refused by the server. */
   void OnFailed(instant sent, instant now);
+  /** The attempt was withdrawn before it was sent. */
+  void OnWithdrawn(instant sent) { RemoveInFlight(sent); }
   /** This host cancelled the attempt, whose age is a lower bound of the server's latency. */
   void OnCancelled(instant sent, instant now, duration typical_latency);
   /** An answer of the server stated its load. */
--- a/src/liblimpetlever/replicas/replica_record.h
+++ b/src/liblimpetlever/replicas/replica_record.h
@@ -3,21 +3,32 @@
 
 #include "base/time_types.h"
 #include "limits/request_limit.h"
+#include "limits/request_pause.h"
 #include "replicas/replica.h"
 #include "replicas/replica_load.h"
 
 namespace limpetlever {
 
-/** What this host knows of a backend server: what it advertises and what was observed. */
+/**
+ * What this host knows of one process of a backend server: what it advertises and what was
+ * observed. CheckAdmission decides whether it may be sent a request.
+ */
 struct replica_record {
   replica registered;
   replica_load load;
   /** The limit that the server names while it is in need. */
   request_limit limit;
+  /** The pause that the server wants from this host. */
+  request_pause pause;
   /** End of the warm-up, during which the server is slower and has less capacity. */
   instant cold_until;
-  /** False if it has left or is draining, or if its data centre is taken out: no new attempts. */
-  bool is_usable = true;
+  /** False once it is no longer registered. */
+  bool is_registered = true;
+  bool is_data_centre_out = false;
+  /** Whether another server has answered at its address. */
+  bool is_misdirected = false;
+  /** Whether an answer of this process has said that it is leaving. */
+  bool is_leaving = false;
   /** Whether it is in the data centre of this host. */
   bool is_local = false;
 };
--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -3,17 +3,27 @@
 #include <algorithm>
 #include <utility>
 
+#include "replicas/admission.h"
 #include "replicas/replica_record.h"
 
 namespace limpetlever {
 
-replica_registry::replica_registry(std::string own_data_centre)
-    : own_data_centre_(std::move(own_data_centre)) {}
+namespace {
+
+// Longer than an outage of the store, at the end of which servers register again.
+constexpr duration kRemovedRetention = std::chrono::minutes(10);
+// Bounds the memory, about 500 bytes a record, if servers come and go without end.
+constexpr std::size_t kMaxRemoved = 4096;
 
-bool replica_registry::ShouldUse(const replica& registered) const {
-  return !registered.is_draining && !taken_out_.contains(registered.data_centre);
+bool IsSameProcess(const replica& a, const replica& b) {
+  return a.started_ms == b.started_ms && a.address == b.address && a.service == b.service;
 }
 
+}  // namespace
+
+replica_registry::replica_registry(std::string own_data_centre)
+    : own_data_centre_(std::move(own_data_centre)) {}
+
 void replica_registry::RemoveFromService(const std::shared_ptr<replica_record>& record) {
   const auto found = by_service_.find(record->registered.service);
   if (found == by_service_.end()) {
@@ -29,47 +39,73 @@
   const auto known = by_id_.find(registered.id);
   if (known != by_id_.end()) {
     replica_record& record = *known->second;
-    const bool is_same_process = record.registered.started_ms == registered.started_ms &&
-                                 record.registered.address == registered.address &&
-                                 record.registered.service == registered.service;
-    if (is_same_process) {
-      const bool was_usable = record.is_usable;
-      record.registered = registered;
-      record.cold_until = now + registered.warm_up_left;
-      record.is_usable = ShouldUse(registered);
-      return was_usable != record.is_usable;
+    if (IsSameProcess(record.registered, registered)) {
+      const bool was_usable = IsUsable(record);
+      Update(record, registered, now);
+      return was_usable != IsUsable(record);
     }
-    Remove(registered.id);
+    Remove(registered.id, now);
   }
-  auto record = std::make_shared<replica_record>();
-  record->registered = registered;
-  record->cold_until = now + registered.warm_up_left;
-  record->is_usable = ShouldUse(registered);
-  record->is_local = registered.data_centre == own_data_centre_;
-  record->limit.SetShare(sharers_.ShareOf(registered.id), now);
+  auto record = TakeRemoved(registered, now);
+  if (!record) {
+    record = std::make_shared<replica_record>();
+    record->is_local = registered.data_centre == own_data_centre_;
+    record->limit.SetShare(sharers_.ShareOf(registered.id), now);
+  }
+  Update(*record, registered, now);
   by_service_[registered.service].push_back(record);
   by_id_.emplace(registered.id, std::move(record));
   return true;
 }
 
-bool replica_registry::Remove(const std::string& id) {
+void replica_registry::Update(replica_record& record, const replica& registered, instant now) {
+  record.registered = registered;
+  record.cold_until = now + registered.warm_up_left;
+  record.is_registered = true;
+  record.is_data_centre_out = taken_out_.contains(registered.data_centre);
+}
+
+bool replica_registry::Remove(const std::string& id, instant now) {
   const auto known = by_id_.find(id);
   if (known == by_id_.end()) {
     return false;
   }
-  known->second->is_usable = false;
+  ForgetRemoved(now);
+  known->second->is_registered = false;
   RemoveFromService(known->second);
+  removed_[id] = {.record = known->second, .at = now};
   by_id_.erase(known);
   return true;
 }
 
+std::shared_ptr<replica_record> replica_registry::TakeRemoved(const replica& registered,
+                                                              instant now) {
+  ForgetRemoved(now);
+  const auto found = removed_.find(registered.id);
+  if (found == removed_.end() || !IsSameProcess(found->second.record->registered, registered)) {
+    return nullptr;
+  }
+  auto record = std::move(found->second.record);
+  removed_.erase(found);
+  record->limit.SetShare(sharers_.ShareOf(registered.id), now);
+  return record;
+}
+
+void replica_registry::ForgetRemoved(instant now) {
+  std::erase_if(removed_,
+                [now](const auto& item) { return now - item.second.at > kRemovedRetention; });
+  if (removed_.size() >= kMaxRemoved) {
+    removed_.clear();
+  }
+}
+
 bool replica_registry::SetTakenOut(std::set<std::string> data_centres) {
   if (data_centres == taken_out_) {
     return false;
   }
   taken_out_ = std::move(data_centres);
   for (const auto& [id, record] : by_id_) {
-    record->is_usable = ShouldUse(record->registered);
+    record->is_data_centre_out = taken_out_.contains(record->registered.data_centre);
   }
   return true;
 }
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -33,8 +33,12 @@
    * has become usable or unusable.
    */
   bool Put(const replica& registered, instant now);
-  /** Removes a server, which gets no new attempts. Returns whether it was known. */
-  bool Remove(const std::string& id);
+  /**
+   * Removes a server, which gets no new attempts. If the same process registers again, because its
+   * entry had expired or was overwritten, what is known of it still holds. Returns whether it was
+   * known.
+   */
+  bool Remove(const std::string& id, instant now);
   /** Sets the data centres whose servers get no attempts. Returns whether the set has changed. */
   bool SetTakenOut(std::set<std::string> data_centres);
 
@@ -51,12 +55,22 @@
   const std::string& own_data_centre() const { return own_data_centre_; }
 
  private:
+  /** Applies an entry of the process that `record` stands for. */
+  void Update(replica_record& record, const replica& registered, instant now);
   void RemoveFromService(const std::shared_ptr<replica_record>& record);
-  bool ShouldUse(const replica& registered) const;
+  /** Returns the record of a removed server if `registered` is the same process. */
+  std::shared_ptr<replica_record> TakeRemoved(const replica& registered, instant now);
+  void ForgetRemoved(instant now);
 
   const std::string own_data_centre_;
   std::unordered_map<std::string, std::shared_ptr<replica_record>> by_id_;
   std::unordered_map<std::string, record_list> by_service_;
+  struct removed_record {
+    std::shared_ptr<replica_record> record;
+    instant at;
+  };
+  /** By id. */
+  std::unordered_map<std::string, removed_record> removed_;
   std::set<std::string> taken_out_;
   limit_sharers sharers_;
 };
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -413,7 +413,7 @@
 }
 
 void node_server::OnReplicaRemoved(const std::string& id) {
-  if (replicas_.Remove(id)) {
+  if (replicas_.Remove(id, loop_.Now())) {
     query_.OnReplicaDown(id);
     log_.Record(event_number::replica_removed, {{"replica", id}});
   }
@@ -425,7 +425,7 @@
 }
 
 void node_server::OnReplicaRefused(const std::string& id, const failure& reason) {
-  replicas_.Remove(id);
+  replicas_.Remove(id, loop_.Now());
   metrics_.OnEntryRefused();
   log_.Record(event_number::replica_entry_refused, {{"replica", id}, {"message", reason.message}});
 }
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -10,6 +10,7 @@
 #include "node/replica_pools.h"
 #include "platform/request_codec.h"
 #include "query/query_outcome.h"
+#include "replicas/admission.h"
 #include "replicas/replica_record.h"
 #include "replicas/replica_registry.h"
 
@@ -115,6 +116,10 @@
       OnCallerDisconnected(locked);
     }
   });
+  query->plan.SetSentCheck([raw = query.get()](std::uint32_t number) {
+    const auto& attempt = raw->attempts[number];
+    return attempt && attempt->connection != nullptr;
+  });
   query_plan::action_list actions;
   query->plan.Start(now, actions);
   Execute(query, actions);
@@ -140,7 +145,7 @@
   }
   for (const query_ptr& query : queries) {
     query_plan::action_list actions;
-    query->plan.OnHostStopping(actions);
+    query->plan.OnHostStopping(loop_.Now(), actions);
     Execute(query, actions);
   }
 }
@@ -176,6 +181,7 @@
   attempt->on_lost = [this, fingerprints = query->fingerprints, id = action.target->registered.id] {
     AddLost(id, fingerprints);
   };
+  attempt->on_excluded = [this, query, number = action.attempt] { return Move(query, number); };
   attempt->on_failure = [this, query, number = action.attempt](attempt_failure failure) {
     OnFailure(query, number, failure);
   };
@@ -196,12 +202,16 @@
                                std::uint32_t attempt,
                                http_message& response) {
   const auto& target = query->attempts[attempt]->target;
+  const exclusion excluded_before = CheckAdmission(*target, loop_.Now()).reason;
   if (!platform::IsAnswerTo(response, query->request_id)) {
     log_.Record(event_number::foreign_answer_dropped,
                 {{"id", query->request_id}, {"replica", target->registered.id}});
+    ApplyNotice(*target, platform::ParseNotice(response, WallNow()), loop_.Now(),
+                state_.random.Unit());
+    ReportNotice(*target, excluded_before);
     return false;
   }
-  auto reply = platform::ParseReply(response);
+  auto reply = platform::ParseReply(response, WallNow());
   if (reply.status / 100 != 2) {
     metrics_.OnAttemptFailed();
     log_.Record(event_number::attempt_failed, {{"id", query->request_id},
@@ -218,6 +228,7 @@
   query_plan::action_list actions;
   query->plan.OnReply(attempt, std::move(reply), loop_.Now(), actions);
   ReportLimit(*record, limit_before);
+  ReportNotice(*record, excluded_before);
   Execute(query, actions);
   return true;
 }
@@ -237,6 +248,30 @@
   }
 }
 
+bool query_service::Move(const query_ptr& query, std::uint32_t attempt) {
+  query_plan::action_list actions;
+  if (!query->plan.Move(attempt, loop_.Now(), actions)) {
+    return false;
+  }
+  query->attempts[attempt] = nullptr;
+  Execute(query, actions);
+  return true;
+}
+
+void query_service::ReportNotice(const replica_record& record, exclusion before) {
+  const instant now = loop_.Now();
+  const admission current = CheckAdmission(record, now);
+  const bool is_notice = current.reason == exclusion::leaving || current.reason == exclusion::pause;
+  if (!is_notice || current.reason == before) {
+    return;
+  }
+  log_.Record(event_number::replica_excluded,
+              {{"replica", record.registered.id},
+               {"service", record.registered.service},
+               {"reason", ToString(current.reason)},
+               {"for_ms", current.next ? *current.next - now : duration::zero()}});
+}
+
 void query_service::OnLimitEndedElsewhere(const std::string& id) {
   const auto record = state_.replicas.Find(id);
   if (record && record->limit.IsNamed()) {
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -16,6 +16,7 @@
 #include "limits/lost_requests.h"
 #include "node/running_query.h"
 #include "query/query_state.h"
+#include "replicas/exclusion.h"
 
 namespace limpetlever {
 
@@ -96,6 +97,10 @@
   void Execute(const query_ptr& query, query_plan::action_list& actions);
   void SendAttempt(const query_ptr& query, const query_action& action);
   bool OnResponse(const query_ptr& query, std::uint32_t attempt, http_message& response);
+  /** Sends a waiting attempt to another server than the one it was chosen for. */
+  bool Move(const query_ptr& query, std::uint32_t attempt);
+  /** Logs that a server is no longer asked, or is asked again, because of what it has answered. */
+  void ReportNotice(const replica_record& record, exclusion before);
   /** Logs a changed limit of a server, and reports its end if this host is the one to do so. */
   void ReportLimit(const replica_record& record, double before);
   void OnFailure(const query_ptr& query, std::uint32_t attempt, attempt_failure failure);
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -34,6 +34,13 @@
   std::function<void()> on_lost;
   /** Called if the attempt fails. No function is called after Cancel. */
   std::function<void(attempt_failure)> on_failure;
+  /**
+   * Called while it waits for a connection to a server that is no longer in use. Returns true if
+   * the request goes to another server; the attempt is then over.
+   */
+  std::function<bool()> on_excluded;
+  /** Whether `on_excluded` was called and no other server was found. */
+  bool was_not_moved = false;
   /** The connection on which it was sent; nullptr while it waits for one. */
   http_client* connection = nullptr;
 };
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -5,6 +5,7 @@
 
 #include "net/event_loop.h"
 #include "node/node_metrics.h"
+#include "replicas/admission.h"
 #include "replicas/replica_record.h"
 
 namespace limpetlever {
@@ -54,7 +55,28 @@
   return loop_.Now() - client.last_used() > limit;
 }
 
+void replica_pool::MoveWaiting() {
+  const bool is_pausing = target_->pause.IsPausing(loop_.Now());
+  if (waiting_.empty() || (IsUsable(*target_) && !is_pausing)) {
+    return;
+  }
+  std::deque<std::shared_ptr<replica_attempt>> kept;
+  for (const auto& attempt : std::exchange(waiting_, {})) {
+    if (!attempt->was_not_moved && attempt->on_excluded()) {
+      continue;
+    }
+    attempt->was_not_moved = true;
+    if (is_pausing) {
+      attempt->on_failure(attempt_failure::not_sent);
+    } else {
+      kept.push_back(attempt);
+    }
+  }
+  waiting_.insert(waiting_.begin(), kept.begin(), kept.end());
+}
+
 void replica_pool::AssignAttempts() {
+  MoveWaiting();
   while (!waiting_.empty()) {
     // The server is least likely to close the connection that was used most recently.
     auto best = connections_.end();
@@ -162,7 +184,7 @@
 }
 
 void replica_pool::CheckForCrash() {
-  if (!target_->is_usable) {
+  if (!IsUsable(*target_)) {
     FailLost();
   } else if (connections_.empty()) {
     // Refused if the server has crashed; if not, the connection serves the next attempt.
@@ -188,7 +210,7 @@
 void replica_pool::ProbeIfUnreachable() {
   // A connection without a request shows when the server is reachable again, so that no caller's
   // request is risked on it.
-  const bool is_wanted = target_->is_usable && target_->load.IsUnreachable();
+  const bool is_wanted = IsUsable(*target_) && target_->load.IsUnreachable();
   if (is_wanted && connections_.empty() && target_->load.IsRetryDue(loop_.Now())) {
     OpenConnection();
   }
@@ -218,7 +240,7 @@
 }
 
 bool replica_pool::IsEmpty() const {
-  const bool is_probed = target_->is_usable && target_->load.IsUnreachable();
+  const bool is_probed = IsUsable(*target_) && target_->load.IsUnreachable();
   return connections_.empty() && waiting_.empty() && lost_.empty() && !is_probed;
 }
 
@@ -229,7 +251,7 @@
     const auto item = connections_.begin() + static_cast<std::ptrdiff_t>(i - 1);
     const bool has_timed_out = !item->client->IsConnected() && now - item->opened > kConnectTimeout;
     const bool is_idle = item->client->IsConnected() && !item->attempt &&
-                         (IsIdleTooLong(*item->client) || !target_->is_usable);
+                         (IsIdleTooLong(*item->client) || !IsUsable(*target_));
     timed_out += has_timed_out ? 1 : 0;
     if (has_timed_out || is_idle) {
       CloseConnection(item);
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -61,6 +61,11 @@
 
   /** Sends waiting attempts on free connections and opens more up to the limit. */
   void AssignAttempts();
+  /**
+   * If the server is no longer in use, moves waiting attempts to other servers. Those that cannot
+   * be moved fail if the server wants no request, and else are sent: it serves them before it ends.
+   */
+  void MoveWaiting();
   void SendOn(pooled_connection& item, std::shared_ptr<replica_attempt> attempt);
   void OpenConnection();
   bool IsIdleTooLong(const http_client& client) const;
--- a/tests/fuzz/test_outside_bytes.cc
+++ b/tests/fuzz/test_outside_bytes.cc
@@ -173,7 +173,7 @@
     reader.Feed(bytes);
     reader.FeedEndOfStream();
     if (reader.current() == http_reader::state::complete) {
-      const auto reply = platform::ParseReply(reader.message());
+      const auto reply = platform::ParseReply(reader.message(), {});
       cr_assert(!reply.load || reply.load->running + reply.load->waiting >= 0);
     }
   });
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -62,6 +62,19 @@
   int failures = 0;
   /** Whether it resets the connection after running a request instead of answering. */
   bool loses_answers = false;
+  /** Whether its answers say that it is leaving. */
+  bool is_leaving = false;
+  /** The Retry-After field of its refusals; empty: none. */
+  std::string retry_after = {};
+  /** Whether it answers 503 after it has run a request. */
+  bool denies_runs = false;
+  /**
+   * Whether it refuses every other request, and sends a second copy of each refusal late, where
+   * the answer to the next request on the connection is expected.
+   */
+  bool repeats_refusals = false;
+  /** Requests so far, if it repeats refusals. */
+  int turn = 0;
 };
 
 /** The response to a test's request; the status is 0 if there was none. */
@@ -186,6 +199,17 @@
     return closed_[id];
   }
 
+  /** How many requests this server has run. */
+  int ServedCount(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return served_[id];
+  }
+  /** How many requests this server has refused. */
+  int RefusalCount(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return refused_[id];
+  }
+
   /** Restarts the servers that a request for ".../poison" has crashed, and waits until they run. */
   void RestartServers() {
     must_restart_servers_ = true;
@@ -315,6 +339,11 @@
     ++runs_[std::string(caller->request().Find("Attempt-Id"))];
   }
 
+  void Count(std::map<std::string, int>& counts, const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    ++counts[id];
+  }
+
   void RestartCrashed(std::vector<std::unique_ptr<http_server>>& servers) {
     hung_callers_.clear();
     for (std::size_t i = 0; i < servers.size(); ++i) {
@@ -336,14 +365,31 @@
       caller->Answer(head, {});
       return;
     }
-    if (behaviour.refusals > 0) {
-      --behaviour.refusals;
+    const bool refuses_by_turns = behaviour.repeats_refusals && ++behaviour.turn % 2 == 1;
+    if (behaviour.refusals > 0 || refuses_by_turns) {
+      behaviour.refusals -= refuses_by_turns ? 0 : 1;
+      Count(refused_, id);
       AppendStatusLine(head, 503);
       AppendField(head, "Not-Executed", "1");
+      AppendField(head, "Attempt-Id", request_id);
+      if (!behaviour.retry_after.empty()) {
+        AppendField(head, "Retry-After", behaviour.retry_after);
+      }
+      if (behaviour.repeats_refusals) {
+        late_copies_[caller.get()] = head + "Content-Length: 0\r\n\r\n";
+      }
       caller->Answer(head, {});
       return;
     }
     RecordRun(caller);
+    Count(served_, id);
+    head = std::exchange(late_copies_[caller.get()], {});
+    if (behaviour.denies_runs) {
+      AppendStatusLine(head, 503);
+      AppendField(head, "Attempt-Id", request_id);
+      caller->Answer(head, {});
+      return;
+    }
     if (behaviour.failures > 0) {
       --behaviour.failures;
       AppendStatusLine(head, 500);
@@ -356,15 +402,18 @@
       ++closed_[request_id];
     });
     loop.timers().Subscribe(loop.Now() + behaviour.delay,
-                            [id, request_id, &behaviour, caller](instant) {
+                            [id, request_id, &behaviour, caller, head](instant) {
                               if (behaviour.loses_answers) {
                                 caller->Abort();
                                 return;
                               }
-                              std::string answer_head;
+                              std::string answer_head = head;
                               AppendStatusLine(answer_head, 200);
                               AppendField(answer_head, "Attempt-Id", request_id);
                               AppendField(answer_head, "Response-Seal", "sig-" + id);
+                              if (behaviour.is_leaving) {
+                                AppendField(answer_head, "Server-Leaving", "1");
+                              }
                               caller->Answer(answer_head, id + std::string(16 - id.size(), '.'));
                             });
   }
@@ -381,6 +430,10 @@
   /** Entries of the servers in the store, by id. */
   std::map<std::string, std::string> entries_;
   std::map<std::string, int> runs_;
+  std::map<std::string, int> served_;
+  std::map<std::string, int> refused_;
+  /** Second copies of refusals that are still to be sent, by connection. */
+  std::map<const server_connection*, std::string> late_copies_;
   std::map<std::string, int> closed_;
   std::thread environment_thread_;
   std::unique_ptr<node_server> server_;
--- a/tests/platform/test_odd_entries.cc
+++ b/tests/platform/test_odd_entries.cc
@@ -179,7 +179,7 @@
       "HTTP/1.1 200 OK\r\nServer-Load: 2147483647,9223372036854775807,-4294967297\r\n"
       "Content-Length: 0\r\n\r\n");
   cr_assert(response.current() == http_reader::state::complete);
-  const auto load = platform::ParseReply(response.message()).load;
+  const auto load = platform::ParseReply(response.message(), {}).load;
   cr_assert(!load || (load->running >= 0 && load->waiting >= 0 &&
                       load->running <= std::numeric_limits<int>::max() - load->waiting));
 }
--- a/tests/platform/test_request_codec.cc
+++ b/tests/platform/test_request_codec.cc
@@ -75,16 +75,18 @@
   parsed refused(http_reader::side::responses,
                  "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nServer-Load: 2,12,2\r\n"
                  "Content-Length: 0\r\n\r\n");
-  const auto refusal = platform::ParseReply(*refused);
+  const auto refusal = platform::ParseReply(*refused, {});
   cr_assert(refusal.is_not_run && refusal.load);
   cr_assert(refusal.load->running == 2 && refusal.load->waiting == 12 && refusal.load->slots == 2);
   parsed failed(
       http_reader::side::responses,
       "HTTP/1.1 503 Service Unavailable\r\nServer-Load: 2,x\r\nContent-Length: 0\r\n\r\n");
-  cr_assert(!platform::ParseReply(*failed).is_not_run && !platform::ParseReply(*failed).load);
+  cr_assert(!platform::ParseReply(*failed, {}).is_not_run &&
+            !platform::ParseReply(*failed, {}).load);
   parsed other(http_reader::side::responses,
                "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
-  cr_assert(platform::ParseReply(*other).is_misdirected && platform::ParseReply(*other).is_not_run);
+  cr_assert(platform::ParseReply(*other, {}).is_misdirected &&
+            platform::ParseReply(*other, {}).is_not_run);
 }
 
 // Guards against a 503, which states that the request has not run, for one that may have run.
@@ -134,7 +136,7 @@
   const auto limit_in = [](const std::string& field) {
     parsed reply(http_reader::side::responses,
                  "HTTP/1.1 200 OK\r\n" + field + "Content-Length: 0\r\n\r\n");
-    return platform::ParseReply(*reply).request_limit;
+    return platform::ParseReply(*reply, {}).request_limit;
   };
   cr_assert(limit_in("Server-Limit: 9.6\r\n") == 9.6);
   cr_assert(limit_in("server-limit: 12\r\n") == 12.0);
@@ -145,7 +147,7 @@
   }
   parsed other(http_reader::side::responses,
                "HTTP/1.1 421 Misdirected Request\r\nServer-Limit: 1\r\nContent-Length: 0\r\n\r\n");
-  cr_assert(!platform::ParseReply(*other).request_limit, "of another server at the address");
+  cr_assert(!platform::ParseReply(*other, {}).request_limit, "of another server at the address");
 }
 
 // Guards against a status that states that a request has not run, for an answer of a server that
@@ -165,3 +167,19 @@
   outcome.reply = replica_reply{.status = 500, .signature = "seal", .body = "text"};
   cr_assert(platform::WriteQueryAnswer(query_route, outcome, {}).status == 500);
 }
+
+// Guards against a signature that makes the list of signatures of a whole merged answer wrong, and
+// against callers that are sent away for the pause that a server wants from this host.
+Test(request_codec, fields_that_are_not_for_the_caller) {
+  parsed odd(http_reader::side::responses,
+             "HTTP/1.1 200 OK\r\nResponse-Seal: a, b\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(platform::ParseReply(*odd, {}).signature.empty());
+  parsed busy(http_reader::side::responses,
+              "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 60\r\nNot-Executed: 1\r\n"
+              "Content-Length: 0\r\n\r\n");
+  const auto reply = platform::ParseReply(*busy, {});
+  cr_assert(reply.notice.pause == std::chrono::seconds(60));
+  for (const auto& [name, value] : reply.fields) {
+    cr_assert(name != "Retry-After");
+  }
+}
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "query_fixture.h"
+#include "replicas/admission.h"
 
 using namespace limpetlever;
 
@@ -86,7 +87,7 @@
 Test(query_plan, a_query_without_enough_servers_is_refused_at_once) {
   query_fixture fixture;
   for (const char* id : {"a0", "b0", "a1", "b1", "a2", "b2"}) {
-    fixture.registry.Remove(id);
+    fixture.registry.Remove(id, fixture.now);
   }
   const auto plan = fixture.Plan(fixture.search);
   actions_type actions;
@@ -283,7 +284,7 @@
   actions.clear();
   plan->OnReply(sends[0].attempt, {.status = 421, .is_not_run = true, .is_misdirected = true},
                 fixture.now, actions);
-  cr_assert(!sends[0].target->is_usable);
+  cr_assert(!IsUsable(*sends[0].target));
   cr_assert(fixture.Sends(actions).size() == 1);
   cr_assert(fixture.Sends(actions)[0].target != sends[0].target);
 }
@@ -305,7 +306,7 @@
 // from time to time: it answers after the pause.
 Test(query_plan, a_pause_does_not_omit_a_shard) {
   query_fixture fixture;
-  fixture.registry.Remove("b0");
+  fixture.registry.Remove("b0", fixture.now);
   fixture.registry.Find("a0")->load.OnSent(fixture.now);
   fixture.Advance(90);
   const auto plan = fixture.Plan(fixture.search);
--- a/tests/replicas/test_replica_registry.cc
+++ b/tests/replicas/test_replica_registry.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "replicas/admission.h"
 #include "replicas/replica.h"
 #include "replicas/replica_record.h"
 #include "replicas/replica_registry.h"
@@ -29,10 +30,10 @@
   replica draining = Server("i1");
   draining.is_draining = true;
   cr_assert(registry.Put(draining, now));
-  cr_assert(!held->is_usable);
+  cr_assert(!IsUsable(*held));
   registry.Put(Server("i1"), now);
-  cr_assert(registry.Remove("i1"));
-  cr_assert(!held->is_usable);
+  cr_assert(registry.Remove("i1", now));
+  cr_assert(!IsUsable(*held));
   cr_assert(registry.FindByService("s").empty());
 }
 
@@ -45,7 +46,7 @@
   again.started_ms = 2;
   cr_assert(registry.Put(again, now));
   cr_assert(registry.Find("i1") != before);
-  cr_assert(!before->is_usable);
+  cr_assert(!IsUsable(*before));
   cr_assert(registry.FindByService("s").size() == 1);
 }
 
@@ -56,7 +57,7 @@
   registry.Put(Server("i1"), now);
   cr_assert(registry.SetTakenOut({"dc-a"}));
   registry.Put(Server("i2"), now);
-  cr_assert(!registry.Find("i1")->is_usable && !registry.Find("i2")->is_usable);
+  cr_assert(!IsUsable(*registry.Find("i1")) && !IsUsable(*registry.Find("i2")));
   cr_assert(registry.SetTakenOut({}));
-  cr_assert(registry.Find("i1")->is_usable && registry.Find("i2")->is_usable);
+  cr_assert(IsUsable(*registry.Find("i1")) && IsUsable(*registry.Find("i2")));
 }
