Node: a request is sent to a server again on another connection

Cause: a server that refuses a request and sends a second copy of the refusal late answers the same request with it, when the request is sent to that server again on the same connection: both have the caller's id. A request that had run was reported as not run (status 503, run once). Ruled out: copies on a connection with another request (the id differs) and on an idle one (it is closed). Change: an attempt avoids the connections on which its request was answered before; one of them is closed if there is no room for another.

--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -182,6 +182,11 @@
     AddLost(id, fingerprints);
   };
   attempt->on_excluded = [this, query, number = action.attempt] { return Move(query, number); };
+  for (const auto& earlier : query->answered_attempts) {
+    if (earlier.target == attempt->target.get()) {
+      attempt->avoided_connections.push_back(earlier.connection_number);
+    }
+  }
   attempt->on_failure = [this, query, number = action.attempt](attempt_failure failure) {
     OnFailure(query, number, failure);
   };
@@ -223,6 +228,10 @@
   }
   const std::shared_ptr<replica_record> record = target;
   const double limit_before = record->limit.requests_per_s();
+  if (reply.status / 100 != 2) {
+    query->answered_attempts.push_back(
+        {.target = record.get(), .connection_number = query->attempts[attempt]->connection_number});
+  }
   query->attempts[attempt] = nullptr;
   CheckBlocked(query);
   query_plan::action_list actions;
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -1,9 +1,11 @@
 #ifndef LIMPETLEVER_NODE_REPLICA_ATTEMPT_H_
 #define LIMPETLEVER_NODE_REPLICA_ATTEMPT_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/time_types.h"
 #include "query/attempt_failure.h"
@@ -41,8 +43,15 @@
   std::function<bool()> on_excluded;
   /** Whether `on_excluded` was called and no other server was found. */
   bool was_not_moved = false;
+  /**
+   * Connections on which the same request was sent to this server before. A second copy of an
+   * earlier answer could arrive there, and its id would be the same.
+   */
+  std::vector<std::uint64_t> avoided_connections;
   /** The connection on which it was sent; nullptr while it waits for one. */
   http_client* connection = nullptr;
+  /** Number of that connection within its pool. */
+  std::uint64_t connection_number = 0;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -55,6 +55,26 @@
   return loop_.Now() - client.last_used() > limit;
 }
 
+bool replica_pool::IsFree(const pooled_connection& item) const {
+  return !item.attempt && item.client->IsConnected() && item.client->IsReusable() &&
+         !IsIdleTooLong(*item.client);
+}
+
+replica_pool::connection_list::iterator replica_pool::FindFree(const replica_attempt& attempt) {
+  // The server is least likely to close the connection that was used most recently.
+  const auto& avoided = attempt.avoided_connections;
+  auto best = connections_.end();
+  for (auto item = connections_.begin(); item != connections_.end(); ++item) {
+    const bool is_avoided =
+        std::find(avoided.begin(), avoided.end(), item->number) != avoided.end();
+    if (!is_avoided && IsFree(*item) &&
+        (best == connections_.end() || best->client->last_used() < item->client->last_used())) {
+      best = item;
+    }
+  }
+  return best;
+}
+
 void replica_pool::MoveWaiting() {
   const bool is_pausing = target_->pause.IsPausing(loop_.Now());
   if (waiting_.empty() || (IsUsable(*target_) && !is_pausing)) {
@@ -75,26 +95,32 @@
   waiting_.insert(waiting_.begin(), kept.begin(), kept.end());
 }
 
+void replica_pool::MakeRoomForAvoiding() {
+  if (waiting_.empty() || connections_.size() < max_connections_) {
+    return;
+  }
+  const auto item = std::find_if(connections_.begin(), connections_.end(),
+                                 [this](const auto& held) { return IsFree(held); });
+  if (item != connections_.end()) {
+    CloseConnection(item);
+  }
+}
+
 void replica_pool::AssignAttempts() {
   MoveWaiting();
-  while (!waiting_.empty()) {
-    // The server is least likely to close the connection that was used most recently.
-    auto best = connections_.end();
-    for (auto item = connections_.begin(); item != connections_.end(); ++item) {
-      const bool is_free = !item->attempt && item->client->IsConnected() &&
-                           item->client->IsReusable() && !IsIdleTooLong(*item->client);
-      if (is_free &&
-          (best == connections_.end() || best->client->last_used() < item->client->last_used())) {
-        best = item;
-      }
-    }
-    if (best == connections_.end()) {
+  for (std::size_t i = 0; i < waiting_.size();) {
+    const auto free = FindFree(*waiting_[i]);
+    if (free != connections_.end()) {
+      auto attempt = std::move(waiting_[i]);
+      waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
+      SendOn(*free, std::move(attempt));
+    } else if (waiting_[i]->avoided_connections.empty()) {
       break;
+    } else {
+      ++i;
     }
-    auto attempt = std::move(waiting_.front());
-    waiting_.pop_front();
-    SendOn(*best, std::move(attempt));
   }
+  MakeRoomForAvoiding();
   const auto opening = static_cast<std::size_t>(
       std::count_if(connections_.begin(), connections_.end(),
                     [](const auto& item) { return !item.client->IsConnected(); }));
@@ -106,6 +132,7 @@
 
 void replica_pool::SendOn(pooled_connection& item, std::shared_ptr<replica_attempt> attempt) {
   attempt->connection = item.client.get();
+  attempt->connection_number = item.number;
   item.attempt = std::move(attempt);
   item.client->Send(item.attempt->request, item.attempt->is_head);
 }
@@ -116,7 +143,8 @@
       {.client = std::make_unique<http_client>(loop_, target_->registered.address, kMaxBodyBytes,
                                                kUnacknowledgedTimeout, *this),
        .attempt = nullptr,
-       .opened = loop_.Now()});
+       .opened = loop_.Now(),
+       .number = next_connection_number_++});
 }
 
 replica_pool::connection_list::iterator replica_pool::Find(const http_client& client) {
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_NODE_REPLICA_POOL_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -56,11 +57,17 @@
     std::unique_ptr<http_client> client;
     std::shared_ptr<replica_attempt> attempt;
     instant opened;
+    std::uint64_t number = 0;
   };
   using connection_list = std::vector<pooled_connection>;
 
   /** Sends waiting attempts on free connections and opens more up to the limit. */
   void AssignAttempts();
+  bool IsFree(const pooled_connection& item) const;
+  /** The free connection that suits the attempt best; end() if there is none. */
+  connection_list::iterator FindFree(const replica_attempt& attempt);
+  /** Closes a free connection that no waiting attempt may use, if there is no room for another. */
+  void MakeRoomForAvoiding();
   /**
    * If the server is no longer in use, moves waiting attempts to other servers. Those that cannot
    * be moved fail if the server wants no request, and else are sent: it serves them before it ends.
@@ -92,6 +99,7 @@
   const std::function<void(const std::string&)>& on_refused_;
   std::size_t max_connections_ = 1;
   connection_list connections_;
+  std::uint64_t next_connection_number_ = 1;
   /** Attempts whose connection was lost and that were not reported as failed yet. */
   std::vector<std::shared_ptr<replica_attempt>> lost_;
   timer_service::timer_id crash_check_ = 0;
--- a/src/limpetlever/node/running_query.h
+++ b/src/limpetlever/node/running_query.h
@@ -24,6 +24,12 @@
   query_plan plan;
   /** Indexed by attempt number; nullptr once the attempt has ended. */
   std::vector<std::shared_ptr<replica_attempt>> attempts;
+  /** An answered attempt whose request may be sent to the same server again. */
+  struct answered_attempt {
+    const replica_record* target = nullptr;
+    std::uint64_t connection_number = 0;
+  };
+  std::vector<answered_attempt> answered_attempts;
   instant started;
   timer_service::timer_id timer = 0;
   /** When `timer` is due. */
--- a/tests/node/test_server_notices.cc
+++ b/tests/node/test_server_notices.cc
@@ -61,6 +61,23 @@
   cr_assert(fixture.RefusalCount("s1") == 1 && fixture.RefusalCount("s2") == 1);
 }
 
+// Guards against a second copy of a refusal that is taken for the answer to the same request, which
+// was sent to the server again: the request has run, and its caller would be told that it has not.
+Test(server_notices, a_late_copy_of_a_refusal_answers_no_other_attempt) {
+  host_fixture fixture({{"s1", {.repeats_refusals = true}}, {"s2", {.refusals = kManyRefusals}}});
+  fixture.WaitUntilReady();
+  int served = 0;
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "id-" + std::to_string(i);
+    const answer response = fixture.SendRequest("POST", "/p/1", id, "body");
+    const int runs = fixture.RunCount(id);
+    cr_assert(runs == (response.status == 200 ? 1 : 0), "%s: status %d, run %d times", id.c_str(),
+              response.status, runs);
+    served += runs;
+  }
+  cr_assert(served > 0);
+}
+
 // Guards against a caller that is told that its request has not run, by the status of a server that
 // has run it.
 Test(server_notices, a_503_of_a_server_that_ran_the_request_is_no_refusal) {
