--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -66,6 +66,11 @@
   return CombineHashes(Hash(settings.name), static_cast<std::uint64_t>(now));
 }
 
+bool IsAmong(const std::vector<member>& hosts, const std::string& name) {
+  return std::any_of(hosts.begin(), hosts.end(),
+                     [&name](const member& host) { return host.name == name; });
+}
+
 member MakeSelf(const node_settings& settings) {
   const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
   return {.name = settings.name,
@@ -211,7 +216,8 @@
   UpdateRetryShare(in_use, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
   UpdateLimitSharers();
   if (query_.table()) {
-    pools_.SetConnectionLimits(*query_.table(), static_cast<int>(in_use.size()));
+    pools_.SetConnectionLimits(*query_.table(), static_cast<int>(in_use.size()),
+                               IsAmong(in_use, settings_.name));
   }
 }
 
@@ -259,9 +265,7 @@
   double budget_share = 1.0;
   int sharing_hosts = fleet_size;
   if (fleet_size > max_in_use) {
-    const bool is_used = std::any_of(in_use.begin(), in_use.end(), [this](const member& host) {
-      return host.name == settings_.name;
-    });
+    const bool is_used = IsAmong(in_use, settings_.name);
     budget_share = is_used ? kRetryShareOfHostsInUse : 1.0 - kRetryShareOfHostsInUse;
     sharing_hosts = is_used ? max_in_use : fleet_size - max_in_use;
   }
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -278,8 +278,9 @@
   for (std::size_t i = connections_.size(); i > 0; --i) {
     const auto item = connections_.begin() + static_cast<std::ptrdiff_t>(i - 1);
     const bool has_timed_out = !item->client->IsConnected() && now - item->opened > kConnectTimeout;
-    const bool is_idle = item->client->IsConnected() && !item->attempt &&
-                         (IsIdleTooLong(*item->client) || !IsUsable(*target_));
+    const bool is_idle =
+        item->client->IsConnected() && !item->attempt &&
+        (!keeps_connections_ || IsIdleTooLong(*item->client) || !IsUsable(*target_));
     timed_out += has_timed_out ? 1 : 0;
     if (has_timed_out || is_idle) {
       CloseConnection(item);
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -36,6 +36,8 @@
    * Limits the connections to the server. A lower limit closes none; it takes effect as they end.
    */
   void SetMaxConnections(std::size_t max) { max_connections_ = max; }
+  /** Whether idle connections are kept for later requests. */
+  void SetKeepsConnections(bool keeps) { keeps_connections_ = keeps; }
   /** Sends the attempt on a free connection, or queues it by priority until there is one. */
   void Send(std::shared_ptr<replica_attempt> attempt);
   /**
@@ -98,6 +100,7 @@
   const std::shared_ptr<replica_record> target_;
   const std::function<void(const std::string&)>& on_refused_;
   std::size_t max_connections_ = 1;
+  bool keeps_connections_ = true;
   connection_list connections_;
   std::uint64_t next_connection_number_ = 1;
   /** Attempts whose connection was lost and that were not reported as failed yet. */
--- a/src/limpetlever/node/replica_pools.cc
+++ b/src/limpetlever/node/replica_pools.cc
@@ -39,13 +39,15 @@
   return static_cast<std::size_t>(std::max(1, share));
 }
 
-void replica_pools::SetConnectionLimits(const route_table& table, int hosts) {
+void replica_pools::SetConnectionLimits(const route_table& table, int hosts, bool is_in_use) {
   host_count_ = hosts;
+  keeps_connections_ = is_in_use;
   for (const service_settings& service : table.services()) {
     max_connections_by_service_[service.name] = service.max_connections;
   }
   for (const auto& [key, pool] : pools_) {
     pool->SetMaxConnections(MaxConnections(pool->target().registered.service));
+    pool->SetKeepsConnections(keeps_connections_);
   }
 }
 
@@ -54,6 +56,7 @@
   if (!pool) {
     pool = std::make_unique<replica_pool>(loop_, metrics_, attempt->target, on_refused_);
     pool->SetMaxConnections(MaxConnections(attempt->target->registered.service));
+    pool->SetKeepsConnections(keeps_connections_);
   }
   pool->Send(std::move(attempt));
 }
--- a/src/limpetlever/node/replica_pools.h
+++ b/src/limpetlever/node/replica_pools.h
@@ -25,9 +25,10 @@
 
   /**
    * Limits the connections to each server to this host's share of what the server accepts, as
-   * given by `table`; `hosts` hosts share them.
+   * given by `table`; `hosts` hosts share them. A host that is not one of these serves few
+   * requests and keeps no idle connection, so that the others can have theirs.
    */
-  void SetConnectionLimits(const route_table& table, int hosts);
+  void SetConnectionLimits(const route_table& table, int hosts, bool is_in_use);
   /** Sets the function to call with the id of a backend server that refused a connection. */
   void OnConnectionRefused(std::function<void(const std::string&)> call) {
     on_refused_ = std::move(call);
@@ -49,6 +50,7 @@
   std::unordered_map<std::string, int> max_connections_by_service_;
   std::function<void(const std::string&)> on_refused_;
   int host_count_ = 1;
+  bool keeps_connections_ = true;
   timer_service::timer_id sweep_ = 0;
 };
 
