Limits: the estimate of a cold server's capacity allows for the error of two means

The limit comes from the fall of the latency since the slowest window, and the slowest of many windows is too slow by chance: a deviation of 7% of the mean doubles the estimated capacity at that time. Ruled out: the growth step and the share of 0.75 that is used, which act on the estimate later. Change: the error of a window's mean (2%) is taken off for both means.

--- a/src/liblimpetlever/limits/replica_limiter.cc
+++ b/src/liblimpetlever/limits/replica_limiter.cc
@@ -29,6 +29,9 @@
 // share of the table's limit: comparison with the initial latency amplifies the error of the mean.
 constexpr double kUsedCapacityShare = 0.75;
 constexpr double kCapacityErrorShare = 0.05;
+// Standard error of a window's mean. The slowest window is the highest of many, and at the start of
+// a warm-up the capacity is smaller than the error of its difference to the present one.
+constexpr double kMeanErrorShare = 0.02;
 
 // Minimum wait after a reduction, so that a burst of refusals is not followed by another at once.
 constexpr duration kMinGrowthPause = milliseconds(100);
@@ -218,8 +221,9 @@
   // During a warm-up the latency falls either linearly with the server's capacity or as the inverse
   // of it. The lower of the two estimates is safe in both cases.
   const double by_inverse = reference / std::max(mean, 1.0);
+  const double error = kMeanErrorShare * (slowest + mean);
   const double by_proportion =
-      slowest > reference ? (slowest - mean) / (slowest - reference) : by_inverse;
+      slowest > reference ? (slowest - mean - error) / (slowest - reference) : by_inverse;
   const double share = std::clamp(std::min(by_inverse, by_proportion), 0.0, 1.0);
   return std::max(
       1, static_cast<int>((share * kUsedCapacityShare - kCapacityErrorShare) * max_limit_));
