Tests: the model counts what a leaving server still gets

Cause: whether hosts should tell each other of a leaving server was weighed without a figure. Change: the model counts the requests sent to the server since it began to leave, and bounds them by the starts of hosts.

--- a/tests/query/notice_model.h
+++ b/tests/query/notice_model.h
@@ -71,6 +71,10 @@
   int broken_drains() const { return broken_drains_; }
   int broken_pauses() const { return broken_pauses_; }
   int notices() const { return notices_; }
+  /** Requests sent to the leaving server since it began to leave. */
+  int asked_while_leaving() const { return asked_while_leaving_; }
+  /** Starts of hosts, the first ones included. */
+  int starts() const { return starts_; }
   int asked() const { return asked_; }
   int served() const { return served_; }
 
@@ -108,7 +112,10 @@
     return {.id = id, .service = "s", .data_centre = "d", .slots = 2, .started_ms = 1};
   }
 
+  bool IsLeaving() const { return now_ - instant(std::chrono::seconds(100)) > kLeavesAfter; }
+
   void Restart(host& item) {
+    ++starts_;
     item.registry = std::make_unique<replica_registry>("d");
     item.state = std::make_unique<query_state>(
         query_state{.replicas = *item.registry, .random = random_source(random_.Below(1000))});
@@ -168,6 +175,7 @@
       ++broken_drains_;
     }
     const instant arrival = now_ + std::chrono::milliseconds(1);
+    asked_while_leaving_ += server == "leaving" && IsLeaving() ? 1 : 0;
     if (server == "pausing") {
       for (pause_window& pause : item.pauses) {
         if (arrival > pause.answered + kPauseSlack && arrival < pause.end &&
@@ -182,8 +190,7 @@
                     .server = server};
     if (random_.Unit() >= kLostShare) {
       answer.reply = replica_reply{.status = 200, .signature = "s", .body = "b"};
-      answer.reply->notice.is_leaving =
-          server == "leaving" && now_ - instant(std::chrono::seconds(100)) > kLeavesAfter;
+      answer.reply->notice.is_leaving = server == "leaving" && IsLeaving();
       if (server == "pausing" && random_.Unit() < kPauseShare) {
         answer.reply = replica_reply{.status = 503, .is_not_run = true};
         answer.reply->notice.pause = std::chrono::milliseconds(300 + random_.Below(5000));
@@ -234,6 +241,8 @@
   int broken_drains_ = 0;
   int broken_pauses_ = 0;
   int notices_ = 0;
+  int asked_while_leaving_ = 0;
+  int starts_ = 0;
   int asked_ = 0;
   int served_ = 0;
 };
--- a/tests/query/test_server_notices.cc
+++ b/tests/query/test_server_notices.cc
@@ -178,6 +178,9 @@
       cr_assert(model.served() > 0.9 * model.asked(), "%d of %d served", model.served(),
                 model.asked());
       cr_assert(model.notices() > 0);
+      // Each host finds out by itself; the requests are served, since the server still runs.
+      cr_assert(model.asked_while_leaving() <= 4 * model.starts(), "%d requests for %d starts",
+                model.asked_while_leaving(), model.starts());
     }
   }
 }
