Node: a server that leaves as planned has not crashed

Cause: the end of a server's entry counted as a crash also if the server had been draining. Ruled out: servers that fall silent or refuse connections, which still count as crashed. Change: the end of the entry of a server that was draining, or said that it leaves, is no sign of a crash.

--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -463,8 +463,12 @@
 }
 
 void node_server::OnReplicaRemoved(const std::string& id) {
+  const auto known = replicas_.Find(id);
+  const bool has_left_as_planned = known && (known->registered.is_draining || known->is_leaving);
   if (replicas_.Remove(id, loop_.Now())) {
-    query_.OnReplicaDown(id);
+    if (!has_left_as_planned) {
+      query_.OnReplicaDown(id);
+    }
     log_.Record(event_number::replica_removed, {{"replica", id}});
   }
 }
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -115,6 +115,9 @@
           for (const auto& [key, value] : std::exchange(pending_writes_, {})) {
             store.Write(key, value);
           }
+          for (const std::string& key : std::exchange(pending_removals_, {})) {
+            store.Remove(key);
+          }
           store.SetMode(platform::platform_store::mode_type::silent);
           for (const auto& [key, value] : std::exchange(unnoticed_writes_, {})) {
             store.Write(key, value);
@@ -246,6 +249,18 @@
 
   /** Writes the entry of a server again, as it does after its entry has been replaced. */
   void RegisterServer(const std::string& id) { WriteToStore("servers/" + id, entries_.at(id)); }
+  /** Writes that a server is draining, as it does before it leaves. */
+  void DrainServer(const std::string& id) {
+    std::string entry = entries_.at(id);
+    const std::string ready = "\"ready\"";
+    WriteToStore("servers/" + id, entry.replace(entry.find(ready), ready.size(), "\"draining\""));
+  }
+
+  /** Removes a key of the store, as another program would. */
+  void RemoveFromStore(const std::string& key) {
+    const std::lock_guard lock(mutex_);
+    pending_removals_.push_back(key);
+  }
 
   /** The value of a metric of the host; 0 if it has none of that name. */
   double Metric(const std::string& name) const {
@@ -447,6 +462,7 @@
   std::atomic<bool> is_stopping_ = false;
   std::mutex mutex_;
   std::vector<std::pair<std::string, std::string>> pending_writes_;
+  std::vector<std::string> pending_removals_;
   std::vector<std::pair<std::string, std::string>> unnoticed_writes_;
   std::atomic<std::int64_t> host_clock_ahead_ms_ = 0;
   /** Entries of the servers in the store, by id. */
--- a/tests/node/test_crashing_requests.cc
+++ b/tests/node/test_crashing_requests.cc
@@ -108,3 +108,33 @@
   cr_assert(fixture.SendRequest("GET", "/i/poison", "poison-3").status == 503);
   cr_assert(fixture.RunCount("poison-2") == 0 && fixture.RunCount("poison-3") == 0);
 }
+
+// Guards against a proper request that is blocked, since its answers were lost on two servers that
+// left soon afterwards as planned.
+Test(crashing_requests, a_server_that_leaves_as_planned_has_not_crashed) {
+  host_fixture fixture({{"s1", {.loses_answers = true}}, {"s2", {.loses_answers = true}}});
+  fixture.WaitUntilReady();
+  cr_assert(fixture.SendRequest("GET", "/i/1", "id-1").status == 502);
+  const int runs = fixture.RunCount("id-1");
+  cr_assert(runs >= 2, "%d", runs);
+  for (const char* id : {"s1", "s2"}) {
+    fixture.DrainServer(id);
+  }
+  while (fixture.SendRequest("GET", "/i/2", "id-2").status != 503) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  for (const char* id : {"s1", "s2"}) {
+    fixture.RemoveFromStore(std::string("servers/") + id);
+  }
+  while (fixture.Metric("limpetlever_backend_servers") > 4) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  for (const char* id : {"s1", "s2"}) {
+    fixture.RegisterServer(id);
+  }
+  while (fixture.Metric("limpetlever_backend_servers") < 6) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  fixture.SendRequest("GET", "/i/1", "id-3");
+  cr_assert(fixture.RunCount("id-3") > 0, "the request is blocked");
+}
