Store: followers return to a store through their watchers; the cost of a choice does not grow with data centres

Cause: in a model of the fleet, followers went to the store as soon as it answered their renewals, before their watchers had noticed its return (224 calls of 100 followers within 4 s), and at the start of an outage as soon as they had a different revision than others. Each choice of a source ranked the watchers of all data centres, and each directory answer ranked all hosts again. Change: a follower waits 3 s from when the store answers it, unless it is left behind for 1 s; it asks the store with a renewal, a tenth of the price, before it calls it; the remote candidate is chosen by its data centre first; directory answers are kept until the hosts change.

--- a/src/liblimpetlever/control/source_selector.cc
+++ b/src/liblimpetlever/control/source_selector.cc
@@ -1,7 +1,7 @@
 #include "control/source_selector.h"
 
 #include <algorithm>
-#include <set>
+#include <cstdint>
 #include <utility>
 
 #include "base/hash.h"
@@ -46,20 +46,21 @@
     const auto first = static_cast<std::ptrdiff_t>(Hash(own_name_) % local.size());
     std::rotate(local.begin(), local.begin() + first, local.end());
   }
-  std::set<std::string> data_centres;
+  // Hosts choose different data centres, and the cost does not grow with their number.
+  const std::uint64_t own_hash = Hash(own_name_);
+  std::string data_centre;
   for (const member& host : members) {
-    if (host.data_centre != own_data_centre_) {
-      data_centres.insert(host.data_centre);
+    const bool is_closer = data_centre.empty() || CombineHashes(own_hash, Hash(host.data_centre)) <
+                                                      CombineHashes(own_hash, Hash(data_centre));
+    if (host.data_centre != own_data_centre_ && host.data_centre != data_centre && is_closer) {
+      data_centre = host.data_centre;
     }
   }
-  std::vector<std::string> remote;
-  for (const std::string& data_centre : data_centres) {
-    const auto watchers = ChooseWatchers(members, data_centre);
-    remote.insert(remote.end(), watchers.begin(), watchers.end());
+  std::vector<std::string> remote = ChooseWatchers(members, data_centre);
+  if (!remote.empty()) {
+    const auto first = static_cast<std::ptrdiff_t>(own_hash % remote.size());
+    std::rotate(remote.begin(), remote.begin() + first, remote.end());
   }
-  std::sort(remote.begin(), remote.end(), [this](const std::string& a, const std::string& b) {
-    return CombineHashes(Hash(own_name_), Hash(a)) < CombineHashes(Hash(own_name_), Hash(b));
-  });
   remote.resize(std::min(remote.size(), kRemoteCandidates));
   local.insert(local.end(), remote.begin(), remote.end());
   return local;
@@ -90,6 +91,7 @@
   std::erase_if(hosts, [this](const std::string& name) { return failed_at_.contains(name); });
   const bool is_direct =
       fleet_size <= kMaxDirectHosts || IsWatcher(members, own_data_centre_, own_name_);
+  has_no_watcher_ = !is_direct && hosts.empty();
   const bool has_service_failed = failed_at_.contains(kKeyValueService);
   if (is_direct && (!has_service_failed || !evidence.are_others_ahead)) {
     current_ = kKeyValueService;
@@ -103,12 +105,11 @@
 }
 
 bool source_selector::MayFallBack(const source_evidence& evidence, instant now) const {
-  if (failed_at_.contains(kKeyValueService) || !evidence.is_service_answering) {
-    return false;
-  }
-  const bool has_answered_since = evidence.service_answered_at > failures_began_;
-  return evidence.are_others_ahead ||
-         (has_answered_since && now - failures_began_ >= kFallbackDelay);
+  const bool is_answering = evidence.is_service_answering &&
+                            evidence.service_answered_at > failures_began_ &&
+                            !failed_at_.contains(kKeyValueService);
+  const instant since = std::max(failures_began_, evidence.service_answers_since);
+  return is_answering && (evidence.is_left_behind || now - since >= kFallbackDelay);
 }
 
 void source_selector::OnFailed(instant now) {
--- a/src/liblimpetlever/control/source_selector.h
+++ b/src/liblimpetlever/control/source_selector.h
@@ -14,10 +14,14 @@
 struct source_evidence {
   /** Whether the service has answered the last of the other calls of this host. */
   bool is_service_answering = true;
+  /** Since when it has answered each of them. */
+  instant service_answers_since{};
   /** When it has last answered one. */
-  instant service_answered_at;
+  instant service_answered_at = instant::max();
   /** Whether other hosts have changes that this host does not have. */
   bool are_others_ahead = true;
+  /** Whether they have had them for so long that this host cannot wait for its watchers. */
+  bool is_left_behind = true;
 };
 
 /**
@@ -44,6 +48,8 @@
   void OnFailed(instant now);
   /** Whether this host is a watcher and should relay changes from the service to other hosts. */
   bool ShouldRelay(const std::vector<member>& members) const;
+  /** Whether all watchers that this host could follow have failed, as of the last Choose(). */
+  bool HasNoWatcher() const { return has_no_watcher_; }
   /** The result of the last call of Choose(). */
   const std::string& current() const { return current_; }
 
@@ -57,6 +63,7 @@
   const std::string own_name_;
   const std::string own_data_centre_;
   std::string current_;
+  bool has_no_watcher_ = false;
   std::map<std::string, instant> failed_at_;
   /** Start and end of the latest failures of watchers that followed each other. */
   instant failures_began_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -30,6 +30,8 @@
 // leaves continues to serve for 3 times 1.2 s.
 constexpr duration kDirectoryAnswerLifetime = std::chrono::milliseconds(1200);
 constexpr int kMaxLifetimesKept = 3;
+// Callers may name data centres that do not exist.
+constexpr std::size_t kMaxDirectoryAnswers = 64;
 // Reserved within the grace time for the exit of the process.
 constexpr duration kExitMargin = std::chrono::milliseconds(400);
 // Reserved before that for sending the last answers.
@@ -211,6 +213,7 @@
 }
 
 void node_server::UpdateShares() {
+  directory_answers_.clear();
   if (!IsViewComplete()) {
     // Counts from an incomplete view of the fleet are too low.
     fleet_size_ = recent_maximum(kFleetSizeWindow);
@@ -249,6 +252,8 @@
 }
 
 void node_server::UpdateRelaying() {
+  // The hosts that are only registered no longer count from now on.
+  directory_answers_.clear();
   feed_.SetRelaying(!is_leaving_ && source_.ShouldRelay(peers_.Members()));
 }
 
@@ -263,9 +268,14 @@
   const std::string& name =
       source_.Choose(members, hosts, loop_.Now(),
                      {.is_service_answering = registration_.IsStoreAnswering(),
+                      .service_answers_since = registration_.store_answers_since(),
                       .service_answered_at = registration_.store_answered_at(),
-                      .are_others_ahead = peers_.IsOtherAhead()});
+                      .are_others_ahead = peers_.IsOtherAhead(),
+                      .is_left_behind = peers_.IsBehind()});
   registration_.SetFollowing(!source_.current().empty());
+  if (source_.HasNoWatcher()) {
+    registration_.CheckStore();
+  }
   if (CurrentSource() == before) {
     return;
   }
@@ -382,17 +392,31 @@
     caller->Answer(head, {});
     return;
   }
-  const auto hosts = ChooseHosts(peers_.Members(), request->data_centre, MaxHostsInUse());
-  if (hosts.empty()) {
+  const std::string& answer = DirectoryAnswer(request->data_centre);
+  if (answer.empty()) {
     AppendStatusLine(head, kUnavailable);
     caller->Answer(head, {});
     return;
   }
   AppendStatusLine(head, kOk);
   AppendField(head, "Content-Type", kJsonContentType);
-  caller->Answer(head,
-                 platform::EncodeDirectoryAnswer(
-                     hosts, std::min(kDirectoryAnswerLifetime, settings_.max_advice_lifetime)));
+  caller->Answer(head, answer);
+}
+
+const std::string& node_server::DirectoryAnswer(const std::string& data_centre) {
+  if (const auto kept = directory_answers_.find(data_centre); kept != directory_answers_.end()) {
+    return kept->second;
+  }
+  if (directory_answers_.size() >= kMaxDirectoryAnswers) {
+    directory_answers_.clear();
+  }
+  const auto hosts = ChooseHosts(peers_.Members(), data_centre, MaxHostsInUse());
+  std::string answer;
+  if (!hosts.empty()) {
+    answer = platform::EncodeDirectoryAnswer(
+        hosts, std::min(kDirectoryAnswerLifetime, settings_.max_advice_lifetime));
+  }
+  return directory_answers_.emplace(data_centre, std::move(answer)).first->second;
 }
 
 void node_server::OnPause(duration pause) {
@@ -502,6 +526,7 @@
   if (!is_listed) {
     registration_.RewriteMissingEntry();
   }
+  directory_answers_.clear();
   peers_.SetRegisteredHosts(hosts);
   UpdateLimitSharers();
 }
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_NODE_NODE_SERVER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -57,6 +58,8 @@
 
   void HandleReadiness(const std::shared_ptr<server_connection>& caller);
   void HandleDirectory(const std::shared_ptr<server_connection>& caller);
+  /** The directory answer for callers in `data_centre`; empty if there is no host to name. */
+  const std::string& DirectoryAnswer(const std::string& data_centre);
   void HandleMetrics(const std::shared_ptr<server_connection>& caller);
   /** Reads the settings file again; `cause` goes into the log. */
   void Reload(const char* cause);
@@ -128,6 +131,8 @@
   http_server readiness_;
   http_server metrics_server_;
   std::unique_ptr<http_server> directory_;
+  /** Directory answers by the caller's data centre, until the hosts or the configuration change. */
+  std::map<std::string, std::string> directory_answers_;
   recent_maximum fleet_size_;
   recent_maximum hosts_in_use_;
   source_selector source_;
