--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -344,7 +344,7 @@
     if (std::exchange(has_unannounced_config_, false)) {
       peers_.AnnounceRevision();
     }
-  } else if (peers_.IsBehind()) {
+  } else if (peers_.IsBehind() && loop_.Now() - started_ >= kFirstSourceChoice) {
     log_.Record(event_number::watch_renewed, {{"revision", announced_revision_}});
     if (source_.current().empty()) {
       feed_.RestartStaleWatch();
