Store: a host that is left behind tries all watchers, and the service every 2 s

Ruled out: the load after the lost history, which took 0.1 s once a source answered. Change: while other hosts have been ahead for 1 s and this one does not advance, the watchers of all data centres are candidates, and the service is tried every 2 s if it answers renewals.

--- a/src/liblimpetlever/control/source_selector.cc
+++ b/src/liblimpetlever/control/source_selector.cc
@@ -22,6 +22,8 @@
 constexpr duration kServiceRetryDelay = std::chrono::seconds(15);
 // Time until a failed watcher is tried again: a watcher has the service again soon after others do.
 constexpr duration kHostRetryDelay = std::chrono::seconds(4);
+// A host that is left behind tries the service again sooner, as it does answer others.
+constexpr duration kLeftBehindRetryDelay = std::chrono::seconds(2);
 // Failures with shorter gaps than this belong together.
 constexpr duration kFailureGap = std::chrono::seconds(5);
 // Watchers are given this time to find that the service answers again.
@@ -38,7 +40,31 @@
   return IsWatcher(members, own_data_centre_, own_name_);
 }
 
-std::vector<std::string> source_selector::Candidates(const std::vector<member>& members) const {
+std::vector<std::string> source_selector::RemoteCandidates(const std::vector<member>& members,
+                                                           bool has_all) const {
+  const std::uint64_t own_hash = Hash(own_name_);
+  std::map<std::uint64_t, std::string> data_centres;
+  for (const member& host : members) {
+    if (host.data_centre != own_data_centre_) {
+      data_centres.emplace(CombineHashes(own_hash, Hash(host.data_centre)), host.data_centre);
+    }
+  }
+  std::vector<std::string> remote;
+  for (const auto& [rank, data_centre] : data_centres) {
+    std::vector<std::string> watchers = ChooseWatchers(members, data_centre);
+    const auto first = static_cast<std::ptrdiff_t>(own_hash % watchers.size());
+    std::rotate(watchers.begin(), watchers.begin() + first, watchers.end());
+    remote.insert(remote.end(), watchers.begin(), watchers.end());
+    if (!has_all) {
+      remote.resize(std::min(remote.size(), kRemoteCandidates));
+      break;
+    }
+  }
+  return remote;
+}
+
+std::vector<std::string> source_selector::Candidates(const std::vector<member>& members,
+                                                     bool is_left_behind) const {
   std::vector<std::string> local = ChooseWatchers(members, own_data_centre_);
   std::erase(local, own_name_);
   // Hosts start at different watchers, which distributes the followers over the watchers.
@@ -46,22 +72,7 @@
     const auto first = static_cast<std::ptrdiff_t>(Hash(own_name_) % local.size());
     std::rotate(local.begin(), local.begin() + first, local.end());
   }
-  // Hosts choose different data centres, and the cost does not grow with their number.
-  const std::uint64_t own_hash = Hash(own_name_);
-  std::string data_centre;
-  for (const member& host : members) {
-    const bool is_closer = data_centre.empty() || CombineHashes(own_hash, Hash(host.data_centre)) <
-                                                      CombineHashes(own_hash, Hash(data_centre));
-    if (host.data_centre != own_data_centre_ && host.data_centre != data_centre && is_closer) {
-      data_centre = host.data_centre;
-    }
-  }
-  std::vector<std::string> remote = ChooseWatchers(members, data_centre);
-  if (!remote.empty()) {
-    const auto first = static_cast<std::ptrdiff_t>(own_hash % remote.size());
-    std::rotate(remote.begin(), remote.begin() + first, remote.end());
-  }
-  remote.resize(std::min(remote.size(), kRemoteCandidates));
+  const std::vector<std::string> remote = RemoteCandidates(members, is_left_behind);
   local.insert(local.end(), remote.begin(), remote.end());
   return local;
 }
@@ -81,7 +92,7 @@
     return now - item.second >=
            (item.first == kKeyValueService ? kServiceRetryDelay : kHostRetryDelay);
   });
-  std::vector<std::string> alive = Candidates(members);
+  std::vector<std::string> alive = Candidates(members, evidence.is_left_behind);
   std::erase_if(alive, [&members](const std::string& name) {
     return std::none_of(members.begin(), members.end(), [&name](const member& host) {
       return host.name == name && host.state == member_state::alive;
@@ -105,9 +116,13 @@
 }
 
 bool source_selector::MayFallBack(const source_evidence& evidence, instant now) const {
-  const bool is_answering = evidence.is_service_answering &&
-                            evidence.service_answered_at > failures_began_ &&
-                            !failed_at_.contains(kKeyValueService);
+  const auto service_failed = failed_at_.find(kKeyValueService);
+  const bool has_failed_lately =
+      service_failed != failed_at_.end() && now - service_failed->second < kLeftBehindRetryDelay;
+  const bool may_call =
+      service_failed == failed_at_.end() || (evidence.is_left_behind && !has_failed_lately);
+  const bool is_answering =
+      evidence.is_service_answering && evidence.service_answered_at > failures_began_ && may_call;
   const instant since = std::max(failures_began_, evidence.service_answers_since);
   return is_answering && (evidence.is_left_behind || now - since >= kFallbackDelay);
 }
--- a/src/liblimpetlever/control/source_selector.h
+++ b/src/liblimpetlever/control/source_selector.h
@@ -54,7 +54,14 @@
   const std::string& current() const { return current_; }
 
  private:
-  std::vector<std::string> Candidates(const std::vector<member>& members) const;
+  /**
+   * The watchers that this host may follow, the preferred ones first. A host that is left behind
+   * tries those of all data centres.
+   */
+  std::vector<std::string> Candidates(const std::vector<member>& members,
+                                      bool is_left_behind) const;
+  /** The watchers of other data centres, of one or of all, in an order that is this host's own. */
+  std::vector<std::string> RemoteCandidates(const std::vector<member>& members, bool has_all) const;
   /** Whether a host without a watcher that works may call the service itself. */
   bool MayFallBack(const source_evidence& evidence, instant now) const;
   /** The one of `hosts` that failed first, which is to be tried again. */
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -271,7 +271,7 @@
                       .service_answers_since = registration_.store_answers_since(),
                       .service_answered_at = registration_.store_answered_at(),
                       .are_others_ahead = peers_.IsOtherAhead(),
-                      .is_left_behind = peers_.IsBehind()});
+                      .is_left_behind = peers_.IsLeftBehind()});
   registration_.SetFollowing(!source_.current().empty());
   if (source_.HasNoWatcher()) {
     registration_.CheckStore();
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -220,6 +220,7 @@
       behind_since_ = loop_.Now();
     }
     newest_peer_revision_ = message.revision;
+    left_behind_since_ = left_behind_since_.value_or(loop_.Now());
   }
   const std::string sender = FormatAddress(from);
   switch (message.kind) {
@@ -256,6 +257,7 @@
 
 void peer_service::SetRevision(std::int64_t revision) {
   revision_ = revision;
+  left_behind_since_ = IsOtherAhead() ? std::optional(loop_.Now()) : std::nullopt;
   behind_since_ = loop_.Now();
   renewals_ = 0;
 }
@@ -282,6 +284,11 @@
   }
 }
 
+bool peer_service::IsLeftBehind() const {
+  return IsOtherAhead() && left_behind_since_ &&
+         loop_.Now() - *left_behind_since_ > kMaxRevisionLag;
+}
+
 bool peer_service::IsBehind() const {
   return newest_peer_revision_ > revision_ && loop_.Now() - behind_since_ > kMaxRevisionLag;
 }
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,8 @@
   bool IsBehind() const;
   /** Whether another host has a newer store revision. */
   bool IsOtherAhead() const { return newest_peer_revision_ > revision_; }
+  /** Whether other hosts have had a newer one for 1 s, while this host has not advanced. */
+  bool IsLeftBehind() const;
   /**
    * To be called when this host has renewed its watch because IsBehind(). After some renewals the
    * newer revision is taken for an error of the host that named it.
@@ -147,6 +150,8 @@
   std::int64_t newest_peer_revision_ = 0;
   /** Calls of OnRenewed since the revision of this host has changed. */
   int renewals_ = 0;
+  /** Since when this host has neither had the newest revision nor advanced. */
+  std::optional<instant> left_behind_since_;
   /** When this host learned of a newer revision, or last set its own. */
   instant behind_since_;
   timer_service::timer_id tick_ = 0;
