--- a/src/liblimpetlever/control/source_selector.cc
+++ b/src/liblimpetlever/control/source_selector.cc
@@ -52,6 +52,9 @@
   std::vector<std::string> remote;
   for (const auto& [rank, data_centre] : data_centres) {
     std::vector<std::string> watchers = ChooseWatchers(members, data_centre);
+    if (watchers.empty()) {
+      continue;  // All hosts of the data centre are lost.
+    }
     const auto first = static_cast<std::ptrdiff_t>(own_hash % watchers.size());
     std::rotate(watchers.begin(), watchers.begin() + first, watchers.end());
     remote.insert(remote.end(), watchers.begin(), watchers.end());
--- a/tests/control/test_source_selector.cc
+++ b/tests/control/test_source_selector.cc
@@ -243,3 +243,21 @@
             tried.size());
   cr_assert(calls >= 1 && calls <= 5, "%d calls of the service in 9 s", calls);
 }
+
+// Guards against a process that ends when all hosts of a data centre are lost: there is no watcher
+// to choose there.
+Test(source_selector, a_data_centre_without_hosts_is_left_out) {
+  auto hosts = MakeFleet(3, 30);
+  for (member& host : hosts) {
+    host.state = host.data_centre == "d0" ? member_state::alive : member_state::dead;
+  }
+  source_selector selector(FindFollower(hosts), "d0");
+  for (const bool is_left_behind : {false, true}) {
+    const source_evidence evidence{.is_left_behind = is_left_behind};
+    cr_assert(IsWatcher(hosts, "d0", selector.Choose(hosts, 90, {}, evidence)));
+  }
+  for (member& host : hosts) {
+    host.state = member_state::dead;
+  }
+  cr_assert(selector.Choose(hosts, 90, {}).empty());
+}
