--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -70,7 +70,8 @@
    */
   void ForbidRetries() { may_retry_ = false; }
   /**
-   * Sets the function that tells whether the request of an open attempt was written to its server.
+   * Sets the function that tells whether the request of an open attempt was written to its server,
+   * or is about to be: it may be asked about an attempt whose action was not carried out yet.
    * Without one, each open attempt counts as written.
    */
   void SetSentCheck(std::function<bool(std::uint32_t attempt)> was_sent) {
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -128,6 +128,9 @@
     }
   });
   query->plan.SetSentCheck([raw = query.get()](std::uint32_t number) {
+    if (number >= raw->attempts.size()) {
+      return true;  // It is about to be sent: the plan has decided on it in the same call.
+    }
     const auto& attempt = raw->attempts[number];
     return attempt && attempt->connection != nullptr;
   });
--- a/tests/query/test_server_notices.cc
+++ b/tests/query/test_server_notices.cc
@@ -165,6 +165,24 @@
   cr_assert(other->outcome().result.state == run_state::may_have_run);
 }
 
+// Guards against a query that is reported as not run although its attempts, on which the same call
+// has decided, are sent before the answer.
+Test(server_notices, attempts_of_the_same_call_count_as_sent) {
+  query_fixture fixture(1);
+  fixture.search.shards = {"shard0", "shard0"};
+  fixture.search.min_shard_ratio = 1.0;
+  fixture.registry.Remove("b0", fixture.now);
+  fixture.registry.Find("a0")->limit.OnNamed(1.0, fixture.now);
+  fixture.Advance(2000);
+  const auto plan = fixture.Plan(fixture.search);
+  std::size_t carried_out = 0;
+  plan->SetSentCheck([&carried_out](std::uint32_t attempt) { return attempt >= carried_out; });
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  cr_assert(query_fixture::Sends(actions).size() == 1 && plan->IsDone());
+  cr_assert(plan->outcome().result.state == run_state::may_have_run);
+}
+
 // Guards against a host that, over freezes, restarts, entries that come back, and answers that are
 // late or lost, sends new requests to a leaving server, or more than two into a pause.
 Test(server_notices, the_model_finds_no_broken_rule) {
