Bench: the hosts of the detection run have the addresses that entries must have

Entries of hosts are refused since if an address is not one, and the simulated hosts of this bench stated no caller address, so that no host learned of another. Ruled out: the membership code, which did not change; hosts on the platform always state both addresses. Change: the simulated hosts state a caller address.

--- a/bench/detection.cc
+++ b/bench/detection.cc
@@ -28,6 +28,7 @@
     for (int i = 0; i < kHosts; ++i) {
       list.push_back({.name = "h" + std::to_string(i),
                       .data_centre = "dc" + std::to_string(i % 4),
+                      .http_address = "127.0.0.1:" + std::to_string(8000 + i),
                       .peer_address = "127.0.0.1:" + std::to_string(9000 + i),
                       .incarnation = 1});
     }
