--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -109,11 +109,20 @@
   }
   return fd;
 }
-/** A port that is free for TCP and UDP now. */
+/**
+ * A port that is free for TCP and UDP. It is below those that the kernel gives to other sockets, so
+ * that none of these can take it before it is used.
+ */
 inline int FreePort() {
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 20'000;
+  static int next = static_cast<int>(getpid()) * 97 % kPorts;
   while (true) {
-    const int tcp = Listen(0);
-    const int port = PortOf(tcp);
+    const int port = kFirstPort + next++ % kPorts;
+    const int tcp = Listen(port);
+    if (tcp < 0) {
+      continue;
+    }
     const int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     const auto address = Loopback(port);
     const bool is_free = bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
