--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
-// A host is frozen while pledges wait for a connection. After it wakes it answers them 503, "not run
-// and never will be", and sends them to a replica all the same.
+// A host is frozen while pledges wait for a connection. After it wakes it answers them 503, "not
+// run and never will be", and sends them to a replica all the same.
 #include <set>
 
 #include "standin/world.h"
@@ -94,9 +94,9 @@
   replica second("i-2", "pledges", Serve, "bern-b");
   first.Register(platform);
   second.Register(platform);
-  const std::vector<std::string> zones = {"bern-a", "bern-a", "bern-a", "bern-a", "bern-b", "bern-b",
-                                          "bern-b", "bern-b", "biel-a", "biel-a", "solothurn-a",
-                                          "solothurn-a"};
+  const std::vector<std::string> zones = {"bern-a", "bern-a", "bern-a",      "bern-a",
+                                          "bern-b", "bern-b", "bern-b",      "bern-b",
+                                          "biel-a", "biel-a", "solothurn-a", "solothurn-a"};
   std::vector<std::unique_ptr<node>> nodes;
   for (std::size_t i = 0; i < zones.size(); ++i) {
     nodes.push_back(std::make_unique<node>("frontend-" + std::to_string(i + 1), folder,
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -14,6 +14,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <strings.h>
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -28,7 +29,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <strings.h>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -48,7 +48,9 @@
 inline void SleepMs(std::int64_t ms) {
   std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(0, ms)));
 }
-inline void SleepUntil(std::int64_t at) { SleepMs(at - Now()); }
+inline void SleepUntil(std::int64_t at) {
+  SleepMs(at - Now());
+}
 
 /** The file record.txt: what was sent, answered and run, with the time in milliseconds. */
 class record {
@@ -125,7 +127,8 @@
     }
     const int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     const auto address = Loopback(port);
-    const bool is_free = bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    const bool is_free =
+        bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
     close(udp);
     close(tcp);
     if (is_free) {
@@ -593,8 +596,8 @@
         break;
       }
       if (request->Find("Target-Instance") != id_) {
-        SendAll(fd, Response(421, {{"Instance-Id", id_},
-                                   {"Attempt-Id", request->Find("Attempt-Id")}}));
+        SendAll(fd,
+                Response(421, {{"Instance-Id", id_}, {"Attempt-Id", request->Find("Attempt-Id")}}));
         continue;
       }
       if (!handle_(*this, fd, *request)) {
@@ -627,8 +630,11 @@
   return poll(&item, 1, 0) > 0;
 }
 /** The answer of a replica that has run the request. */
-inline std::string Ran(const replica& self, const message& request, int status,
-                       const std::string& body, field_list more = {}) {
+inline std::string Ran(const replica& self,
+                       const message& request,
+                       int status,
+                       const std::string& body,
+                       field_list more = {}) {
   const std::string id = request.Find("Attempt-Id");
   field_list fields{{"Attempt-Id", id}, {"Response-Seal", Seal(self.id(), id)}};
   fields.insert(fields.end(), more.begin(), more.end());
@@ -738,10 +744,14 @@
 
 inline const char* kHost = "pupu76.example";
 
-inline std::string Request(const std::string& method, const std::string& target,
-                           const std::string& id, int deadline_ms, const std::string& body = {}) {
-  std::string out = method + " " + target + " HTTP/1.1\r\nHost: " + kHost + "\r\nAttempt-Id: " +
-                    id + "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+inline std::string Request(const std::string& method,
+                           const std::string& target,
+                           const std::string& id,
+                           int deadline_ms,
+                           const std::string& body = {}) {
+  std::string out = method + " " + target + " HTTP/1.1\r\nHost: " + kHost +
+                    "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
+                    "\r\n";
   if (method == "POST") {
     out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   }
@@ -758,8 +768,12 @@
 };
 
 /** Sends one request on a new connection and waits for the answer. */
-inline outcome Ask(int port, const std::string& method, const std::string& target,
-                   const std::string& id, int deadline_ms, const std::string& body = {}) {
+inline outcome Ask(int port,
+                   const std::string& method,
+                   const std::string& target,
+                   const std::string& id,
+                   int deadline_ms,
+                   const std::string& body = {}) {
   outcome result;
   const int fd = Connect(port);
   result.sent_at = Now();
