Query: the log tells how many attempts were unsent when a request was answered

Cause: the log of a host could not tell a request whose attempt was written to a server before its answer from one whose attempt was written after it. Change: request_answered has the field unsent.

--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -353,6 +353,9 @@
   const route& query_route = query->plan.matched_route();
   const auto answer = platform::WriteQueryAnswer(query_route, outcome, RandomRetryAfter());
   const duration elapsed = loop_.Now() - query->started;
+  const auto unsent = std::count_if(
+      query->attempts.begin(), query->attempts.end(),
+      [](const auto& attempt) { return attempt != nullptr && attempt->connection == nullptr; });
   log_.Record(event_number::request_answered, {{"id", query->request_id},
                                                {"route", query_route.name},
                                                {"version", query->plan.config_version()},
@@ -367,6 +370,7 @@
                                                {"omitted", query->plan.omitted_shards()},
                                                {"limited", query->plan.limited_shards()},
                                                {"budget_empty", query->plan.budget_refusals()},
+                                               {"unsent", unsent},
                                                {"elapsed_ms", elapsed}});
   metrics_.OnAnswered(answer.status, query_route.priority, elapsed, missing);
   metrics_.OnRetryBudgetExhausted(query->plan.budget_refusals());
