Query: an attempt that waits for a connection ends before its request is answered

What callers saw: a host that had been frozen past the time-out of a route answered waiting pledges 503, which promises that they never run, and wrote them to a server in the next moment. Cause: the plan ends a query with abandon actions, which query_service ignored; a waiting attempt was withdrawn by a timer set for now instead. After a freeze that timer ran too late: timer_service bounds one pass by the number of timers at its start, and periodic timers that were due again used it up. The loop went on to socket events, an answer that had arrived during the freeze freed a connection, and replica_pool sent the next waiting attempt on it. Ruled out: a sent attempt that counts as unsent, and a send within CancelAttempts. Change: abandon withdraws an unsent attempt at once, before the answer is written, so that no order of timers and sockets matters. Related paths: a send that follows the end of its query in the same list of actions is left out; a pool calls no function of an attempt that was cancelled by a function of another one. Callers that leave were handled at once before.

--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -177,9 +177,13 @@
   for (const query_action& action : actions) {
     switch (action.kind) {
       case query_action::kind_type::send:
-        SendAttempt(query, action);
+        // Sending the one before may have ended the query.
+        if (!query->is_answered) {
+          SendAttempt(query, action);
+        }
         break;
       case query_action::kind_type::abandon:
+        WithdrawUnsent(query, action.attempt);
         break;
       case query_action::kind_type::finish:
         Answer(query);
@@ -226,6 +230,17 @@
   pools_.Send(std::move(attempt));
 }
 
+void query_service::WithdrawUnsent(const query_ptr& query, std::uint32_t attempt) {
+  const auto waiting = attempt < query->attempts.size() ? query->attempts[attempt] : nullptr;
+  if (!waiting || waiting->connection != nullptr) {
+    return;
+  }
+  ++query->unsent_attempts;
+  query->attempts[attempt] = nullptr;
+  query->plan.OnCancelled(attempt, loop_.Now());
+  pools_.Cancel(waiting);
+}
+
 bool query_service::OnResponse(const query_ptr& query,
                                std::uint32_t attempt,
                                http_message& response) {
@@ -353,9 +368,6 @@
   const route& query_route = query->plan.matched_route();
   const auto answer = platform::WriteQueryAnswer(query_route, outcome, RandomRetryAfter());
   const duration elapsed = loop_.Now() - query->started;
-  const auto unsent = std::count_if(
-      query->attempts.begin(), query->attempts.end(),
-      [](const auto& attempt) { return attempt != nullptr && attempt->connection == nullptr; });
   log_.Record(event_number::request_answered, {{"id", query->request_id},
                                                {"route", query_route.name},
                                                {"version", query->plan.config_version()},
@@ -370,7 +382,7 @@
                                                {"omitted", query->plan.omitted_shards()},
                                                {"limited", query->plan.limited_shards()},
                                                {"budget_empty", query->plan.budget_refusals()},
-                                               {"unsent", unsent},
+                                               {"unsent", query->unsent_attempts},
                                                {"elapsed_ms", elapsed}});
   metrics_.OnAnswered(answer.status, query_route.priority, elapsed, missing);
   metrics_.OnRetryBudgetExhausted(query->plan.budget_refusals());
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -103,6 +103,11 @@
   /** Carries out the actions that the query's plan decided on. */
   void Execute(const query_ptr& query, query_plan::action_list& actions);
   void SendAttempt(const query_ptr& query, const query_action& action);
+  /**
+   * Ends an attempt of a query that is over if it still waits for a connection. To be called before
+   * the answer is written: an answer may promise that the request never runs.
+   */
+  void WithdrawUnsent(const query_ptr& query, std::uint32_t attempt);
   bool OnResponse(const query_ptr& query, std::uint32_t attempt, http_message& response);
   /** Sends a waiting attempt to another server than the one it was chosen for. */
   bool Move(const query_ptr& query, std::uint32_t attempt);
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -41,6 +41,8 @@
    * the request goes to another server; the attempt is then over.
    */
   std::function<bool()> on_excluded;
+  /** Whether the query has ended it; no function is called and nothing is sent any more. */
+  bool is_cancelled = false;
   /** Whether `on_excluded` was called and no other server was found. */
   bool was_not_moved = false;
   /**
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -82,6 +82,9 @@
   }
   std::deque<std::shared_ptr<replica_attempt>> kept;
   for (const auto& attempt : std::exchange(waiting_, {})) {
+    if (attempt->is_cancelled) {
+      continue;  // By a function of an attempt before it.
+    }
     if (!attempt->was_not_moved && attempt->on_excluded()) {
       continue;
     }
@@ -231,7 +234,9 @@
 
 void replica_pool::FailLost() {
   for (const auto& attempt : std::exchange(lost_, {})) {
-    attempt->on_failure(attempt_failure::connection_lost);
+    if (!attempt->is_cancelled) {
+      attempt->on_failure(attempt_failure::connection_lost);
+    }
   }
 }
 
@@ -253,6 +258,7 @@
 }
 
 void replica_pool::Cancel(const std::shared_ptr<replica_attempt>& attempt) {
+  attempt->is_cancelled = true;
   if (const auto position = std::find(waiting_.begin(), waiting_.end(), attempt);
       position != waiting_.end()) {
     waiting_.erase(position);
--- a/src/limpetlever/node/running_query.h
+++ b/src/limpetlever/node/running_query.h
@@ -35,6 +35,8 @@
   /** When `timer` is due. */
   instant timer_due;
   bool is_answered = false;
+  /** Attempts that still waited for a connection when the query ended. */
+  int unsent_attempts = 0;
   /** When the attempts still in flight are cancelled; set once the query is answered. */
   instant cancel_attempts_at;
 };
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -148,6 +148,7 @@
 
   void StartHost() {
     auto created = node_server::Create("/nonexistent", settings_, [this] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(host_freeze_ms_.exchange(0)));
       return ReadBootClock() + std::chrono::milliseconds(host_clock_ahead_ms_);
     });
     cr_assert(created, "%s", created ? "" : created.error().message.c_str());
@@ -237,6 +238,12 @@
   /** Lets this time pass for the host at once, as while its process is paused. */
   void PauseHost(std::chrono::milliseconds time) { host_clock_ahead_ms_ += time.count(); }
 
+  /**
+   * Stops the host's thread for this time at its next step, as a frozen process, while the servers
+   * and the callers go on.
+   */
+  void FreezeHost(std::chrono::milliseconds time) { host_freeze_ms_ = time.count(); }
+
   /** Writes a key without telling the host, which is paused. */
   void WriteUnnoticed(const std::string& key, std::string value) {
     const std::lock_guard lock(mutex_);
@@ -465,6 +472,7 @@
   std::vector<std::string> pending_removals_;
   std::vector<std::pair<std::string, std::string>> unnoticed_writes_;
   std::atomic<std::int64_t> host_clock_ahead_ms_ = 0;
+  std::atomic<std::int64_t> host_freeze_ms_ = 0;
   /** Entries of the servers in the store, by id. */
   std::map<std::string, std::string> entries_;
   std::map<std::string, int> runs_;
--- a/tests/node/test_paused_host.cc
+++ b/tests/node/test_paused_host.cc
@@ -6,6 +6,9 @@
 
 constexpr std::chrono::seconds kPause(5);
 
+// More than the connections to both servers of the service.
+constexpr int kManyRequests = 40;
+
 }  // namespace
 
 // Guards against a host that was paused and goes on sending to a data centre that operators have
@@ -51,3 +54,36 @@
   cr_assert(fixture.SendRequest("POST", "/p/1", "id-1", "body", kDeadlineMs).status == 503);
   cr_assert(fixture.RunCount("id-1") == 0);
 }
+
+// Guards against requests that are answered 503 after a freeze, which says that they never run,
+// and are sent to a server in the next moment: their connections become free by answers that
+// arrived during the freeze.
+Test(paused_host, a_request_that_was_refused_after_a_freeze_never_runs) {
+  constexpr int kDeadlineMs = 1500;
+  constexpr std::chrono::milliseconds kWork(600);
+  host_fixture fixture({{"s1", {.delay = kWork}}, {"s2", {.delay = kWork}}});
+  fixture.WaitUntilReady();
+  std::vector<int> statuses(kManyRequests);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kManyRequests; ++i) {
+    callers.emplace_back([&fixture, &statuses, i] {
+      const std::string id = "id-" + std::to_string(i);
+      statuses[static_cast<std::size_t>(i)] =
+          fixture.SendRequest("POST", "/p/" + std::to_string(i), id, "body", kDeadlineMs).status;
+    });
+  }
+  std::this_thread::sleep_for(kWork / 2);
+  fixture.FreezeHost(std::chrono::milliseconds(2 * kDeadlineMs));
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  std::this_thread::sleep_for(2 * kWork);
+  int refused = 0;
+  for (int i = 0; i < kManyRequests; ++i) {
+    const bool is_refused = statuses[static_cast<std::size_t>(i)] == 503;
+    refused += is_refused ? 1 : 0;
+    cr_assert(!is_refused || fixture.RunCount("id-" + std::to_string(i)) == 0,
+              "request %d was answered 503 and ran", i);
+  }
+  cr_assert(refused > 0);
+}
