Query: no attempt is sent after its caller's deadline

What callers saw: after a delay of the host, a waiting request was sent to a server although its caller had stopped waiting; it took a slot, and a request that must not run twice could run with nobody to learn of it. Found by reading the callers of AssignAttempts. Change: a pool leaves attempts past their deadline in line, where the timer of their query ends them, and opens no connection for them. Test: replica_pool/sends_no_attempt_after_its_deadline failed before (the server received /late) and passes. test_node 29 passed.

--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -98,6 +98,10 @@
   waiting_.insert(waiting_.begin(), kept.begin(), kept.end());
 }
 
+bool replica_pool::IsExpired(const replica_attempt& attempt) const {
+  return loop_.Now() >= attempt.deadline;
+}
+
 void replica_pool::MakeRoomForAvoiding() {
   if (waiting_.empty() || connections_.size() < max_connections_) {
     return;
@@ -112,6 +116,10 @@
 void replica_pool::AssignAttempts() {
   MoveWaiting();
   for (std::size_t i = 0; i < waiting_.size();) {
+    if (IsExpired(*waiting_[i])) {
+      ++i;
+      continue;
+    }
     const auto free = FindFree(*waiting_[i]);
     if (free != connections_.end()) {
       auto attempt = std::move(waiting_[i]);
@@ -127,8 +135,10 @@
   const auto opening = static_cast<std::size_t>(
       std::count_if(connections_.begin(), connections_.end(),
                     [](const auto& item) { return !item.client->IsConnected(); }));
-  for (std::size_t i = opening; i < waiting_.size() && connections_.size() < max_connections_;
-       ++i) {
+  const auto sendable = static_cast<std::size_t>(
+      std::count_if(waiting_.begin(), waiting_.end(),
+                    [this](const auto& attempt) { return !IsExpired(*attempt); }));
+  for (std::size_t i = opening; i < sendable && connections_.size() < max_connections_; ++i) {
     OpenConnection();
   }
 }
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -65,6 +65,11 @@
 
   /** Sends waiting attempts on free connections and opens more up to the limit. */
   void AssignAttempts();
+  /**
+   * Whether the attempt's caller has stopped waiting. Such an attempt is not sent; its query ends
+   * it when its timer runs, which may be after the events of sockets.
+   */
+  bool IsExpired(const replica_attempt& attempt) const;
   bool IsFree(const pooled_connection& item) const;
   /** The free connection that suits the attempt best; end() if there is none. */
   connection_list::iterator FindFree(const replica_attempt& attempt);
