Store: the log tells when the removal of a server is delayed

Change: event 929 replica_removal_delayed with the server, the time and the source that named the removal.

--- a/src/liblimpetlever/control/control_listener.h
+++ b/src/liblimpetlever/control/control_listener.h
@@ -28,6 +28,11 @@
   virtual void OnRouteTableRefused(const failure& reason) = 0;
   virtual void OnReplicaChanged(const replica& entry) = 0;
   virtual void OnReplicaRemoved(const std::string& id) = 0;
+  /**
+   * The entry of the replica `id` is gone, perhaps because it lapsed in an outage of the store.
+   * OnReplicaRemoved follows after `delay` unless the replica registers again.
+   */
+  virtual void OnReplicaRemovalDelayed(const std::string& id, duration delay) = 0;
   /**
    * The store's entry for the replica `id` does not describe a usable backend server; an earlier
    * entry for that id is no longer valid.
--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -122,6 +122,8 @@
       return "store_entry_refused";
     case event_number::replica_excluded:
       return "replica_excluded";
+    case event_number::replica_removal_delayed:
+      return "replica_removal_delayed";
     case event_number::store_lost:
       return "store_lost";
     case event_number::store_regained:
@@ -203,6 +205,7 @@
       event_number::request_limit_changed,
       event_number::store_entry_refused,
       event_number::replica_excluded,
+      event_number::replica_removal_delayed,
       event_number::store_lost,
       event_number::store_regained,
       event_number::store_history_lost,
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -72,6 +72,7 @@
   request_limit_changed = 926,
   store_entry_refused = 927,
   replica_excluded = 928,
+  replica_removal_delayed = 929,
   store_lost = 930,
   store_regained = 931,
   store_history_lost = 932,
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -497,6 +497,11 @@
   }
 }
 
+void node_server::OnReplicaRemovalDelayed(const std::string& id, duration delay) {
+  log_.Record(event_number::replica_removal_delayed,
+              {{"replica", id}, {"for_ms", delay}, {"source", CurrentSource()}});
+}
+
 void node_server::OnEntryRefused(const std::string& key, const failure& reason) {
   metrics_.OnEntryRefused();
   log_.Record(event_number::store_entry_refused, {{"key", key}, {"message", reason.message}});
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -101,6 +101,7 @@
   void OnRouteTableRefused(const failure& reason) override;
   void OnReplicaChanged(const replica& registered) override;
   void OnReplicaRemoved(const std::string& id) override;
+  void OnReplicaRemovalDelayed(const std::string& id, duration delay) override;
   void OnReplicaRefused(const std::string& id, const failure& reason) override;
   void OnEntryRefused(const std::string& key, const failure& reason) override;
   void OnDataCentresTakenOut(std::set<std::string> data_centres) override;
--- a/tests/platform/test_host_registration.cc
+++ b/tests/platform/test_host_registration.cc
@@ -23,6 +23,7 @@
   void OnRouteTableRefused(const failure&) override {}
   void OnReplicaChanged(const replica&) override {}
   void OnReplicaRemoved(const std::string&) override {}
+  void OnReplicaRemovalDelayed(const std::string&, duration) override {}
   void OnReplicaRefused(const std::string&, const failure&) override {}
   void OnCaughtUp() override {}
   void OnEntryRefused(const std::string&, const failure&) override {}
