Store: removals of servers are delayed only after outages of the store

Cause: control_feed keeps a removed server in use for 2.3 s after its source was regained, as its entry may have lapsed in an outage of the store. 'Regained' followed each failed call: one refused call, a watch that the host itself renewed, a relay that had no copy yet. Each of them also restarted the time for servers whose removal was delayed already. Change: outage_detector, code of its own without clock or network, decides from the outcomes of all calls to the store whether there was an outage in which the entry of a live server can lapse (two heartbeats, new optional setting server_heartbeat_ms) and when it ended; only that delays a removal, and no later failure of a source prolongs it. A relay states how long it delays removals, so that its followers do the same. Related paths: renewed watches, relays that refuse, changes of the source, and refused calls outside of outages all went through the same rule.

--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -22,7 +22,7 @@
 #include "platform/control_feed.h"
 #include "platform/crash_report_writer.h"
 #include "platform/host_registration.h"
-#include "platform/store_call_counts.h"
+#include "platform/store_call_history.h"
 #include "replicas/replica_registry.h"
 
 namespace limpetlever {
@@ -124,7 +124,7 @@
   replica_pools pools_;
   query_service query_;
   peer_service peers_;
-  platform::store_call_counts store_calls_;
+  platform::store_call_history store_calls_;
   platform::control_feed feed_;
   platform::host_registration registration_;
   platform::crash_report_writer crash_reports_;
--- a/src/limpetlever/node/node_settings.cc
+++ b/src/limpetlever/node/node_settings.cc
@@ -60,6 +60,14 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
   }
 
+  duration Milliseconds(std::string_view name, duration fallback) {
+    constexpr double kMinMilliseconds = 10.0;
+    constexpr double kMaxMilliseconds = 600'000.0;
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    return std::chrono::duration_cast<duration>(milliseconds(
+        Number(name, kMinMilliseconds, kMaxMilliseconds, milliseconds(fallback).count())));
+  }
+
   const std::optional<failure>& first_error() const { return first_error_; }
 
  private:
@@ -103,6 +111,7 @@
   settings.grace_time = reader.Seconds("grace_s", settings.grace_time);
   settings.max_advice_lifetime =
       reader.Seconds("max_advice_lifetime_s", settings.max_advice_lifetime);
+  settings.server_heartbeat = reader.Milliseconds("server_heartbeat_ms", settings.server_heartbeat);
   settings.retry_ratio = reader.Number("retry_ratio", 0.0, 1.0, settings.retry_ratio);
   settings.retry_slack = reader.Number("retry_slack", 0.0, 1e6, settings.retry_slack);
   settings.retry_window = reader.Seconds("retry_window_s", settings.retry_window);
--- a/src/limpetlever/node/node_settings.h
+++ b/src/limpetlever/node/node_settings.h
@@ -38,6 +38,8 @@
   duration grace_time = std::chrono::seconds(6);
   /** The longest lifetime of a directory answer that callers accept. */
   duration max_advice_lifetime = std::chrono::seconds(5);
+  /** How often a backend server writes its entry in the store. */
+  duration server_heartbeat = std::chrono::milliseconds(1200);
   /**
    * Retry budget of the whole fleet: hedges and retries allowed within `retry_window`, as a
    * fraction of the requests in it.
--- a/tests/platform/loop_fixture.h
+++ b/tests/platform/loop_fixture.h
@@ -1,16 +1,32 @@
 #ifndef TESTS_PLATFORM_LOOP_FIXTURE_H_
 #define TESTS_PLATFORM_LOOP_FIXTURE_H_
 
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <functional>
+#include <utility>
 
+#include "base/socket_address.h"
 #include "net/event_loop.h"
+#include "net/socket.h"
 #include "platform/standins/platform_store.h"
-#include "platform/store_call_counts.h"
+#include "platform/store_call_history.h"
 
 namespace limpetlever {
 
+/** A listening socket on loopback; `address` becomes its address. */
+inline socket_handle ListenOnFreePort(socket_address& address) {
+  auto handle = Listen({.ip = "127.0.0.1", .port = 0});
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(handle->fd(), reinterpret_cast<sockaddr*>(&bound), &size);
+  address = {.ip = "127.0.0.1", .port = ntohs(bound.sin_port)};
+  return std::move(handle.value());
+}
+
 /** Runs the store's stand-in and the code under test on one loop, with real sockets on loopback. */
 struct loop_fixture {
   loop_fixture() : store(loop) {}
@@ -37,7 +53,7 @@
 
   event_loop loop;
   platform::platform_store store;
-  platform::store_call_counts counts;
+  platform::store_call_history counts;
 };
 
 }  // namespace limpetlever
--- /dev/null
+++ b/tests/platform/test_control_feed.cc
@@ -0,0 +1,168 @@
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/control_listener.h"
+#include "loop_fixture.h"
+#include "platform/control_feed.h"
+#include "replicas/replica.h"
+
+using namespace limpetlever;
+using platform::platform_store;
+
+namespace {
+
+constexpr const char* kServer =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"1","slots":2,)"
+    R"("state":"ready","warmupLeftMs":0,"seq":1,"born":1})";
+// Longer than the outage in which the entry of a live server can lapse.
+constexpr duration kOutage = std::chrono::milliseconds(2600);
+// A removal that is applied within this time was not delayed: the pause between two watches, and
+// some time for a slow machine.
+constexpr duration kUndelayed = std::chrono::milliseconds(1800);
+
+/** Records the replicas of a host. */
+class recorder : public control_listener {
+ public:
+  void OnReplicaChanged(const replica& entry) override { replicas.insert(entry.id); }
+  void OnReplicaRemoved(const std::string& id) override {
+    replicas.erase(id);
+    ++removals;
+  }
+  void OnReplicaRemovalDelayed(const std::string&, duration) override { ++delays; }
+  void OnStoreRegained(duration) override { ++regained; }
+  void OnRouteTable(std::shared_ptr<const route_table>) override {}
+  void OnRouteTableRefused(const failure&) override {}
+  void OnReplicaRefused(const std::string&, const failure&) override {}
+  void OnEntryRefused(const std::string&, const failure&) override {}
+  void OnDataCentresTakenOut(std::set<std::string>) override {}
+  void OnHostsChanged(const std::vector<gossip_entry>&) override {}
+  void OnCrashReported(const gossip_entry&) override {}
+  void OnStoreLost(int) override {}
+  void OnSourceFailed(int) override {}
+  void OnStoreHistoryLost(std::int64_t) override {}
+  void OnStoreResponsive() override {}
+  void OnCaughtUp() override {}
+  void OnRegistered(std::int64_t) override {}
+
+  std::set<std::string> replicas;
+  int removals = 0;
+  int delays = 0;
+  int regained = 0;
+};
+
+struct feed_fixture : loop_fixture {
+  feed_fixture()
+      : feed(loop, store.address(), counts, ListenOnFreePort(relay_address), 1, recorded),
+        follower(loop,
+                 store.address(),
+                 follower_counts,
+                 ListenOnFreePort(follower_address),
+                 2,
+                 follower_recorded) {
+    store.Write("servers/i1", kServer);
+    store.Write("servers/i2", kServer);
+    feed.Start();
+    RunUntil([this] { return recorded.replicas.size() == 2; });
+    // The first watches of a host are some seconds apart.
+    RunFor(std::chrono::seconds(2));
+    store.Write("other", "a change that answers the first watch");
+    RunFor(std::chrono::seconds(3));
+  }
+
+  void RunFor(duration time) {
+    const instant end = loop.UpdateNow() + time;
+    RunUntil([this, end] { return loop.Now() >= end; });
+  }
+
+  /** The host's next watch is refused; after that the store serves it again. */
+  void RefuseOnce() {
+    const int before = recorded.regained;
+    const int calls = store.CallCount("/kv-watch");
+    store.SetMode(platform_store::mode_type::busy);
+    feed.RestartWatch();
+    RunUntil([this, calls] { return store.CallCount("/kv-watch") > calls; });
+    store.SetMode(platform_store::mode_type::normal);
+    store.Write("other", "a change that answers the watch");
+    RunUntil([this, before] { return recorded.regained > before; });
+  }
+
+  /** The store is away for `time`, as this host's calls show. */
+  void TakeStoreAway(duration time) {
+    const int before = recorded.regained;
+    store.SetMode(platform_store::mode_type::busy);
+    feed.RestartWatch();
+    RunFor(time);
+    store.Remove("servers/i1");
+    store.SetMode(platform_store::mode_type::normal);
+    RunUntil([this, before] { return recorded.regained > before; });
+  }
+
+  recorder recorded;
+  recorder follower_recorded;
+  platform::store_call_history follower_counts;
+  socket_address relay_address;
+  socket_address follower_address;
+  platform::control_feed feed;
+  platform::control_feed follower;
+};
+
+}  // namespace
+
+// Guards against a host that goes on using removed servers because one of its calls was refused,
+// though the store has served the servers all the time.
+Test(control_feed, a_refused_call_delays_no_removal) {
+  feed_fixture fixture;
+  fixture.RefuseOnce();
+  fixture.store.Remove("servers/i1");
+  fixture.RunFor(kUndelayed);
+  cr_assert(fixture.recorded.removals == 1 && fixture.recorded.delays == 0);
+}
+
+// Guards against a removal that is delayed again and again while calls of the host fail.
+Test(control_feed, refused_calls_do_not_prolong_a_delay) {
+  feed_fixture fixture;
+  fixture.TakeStoreAway(kOutage);
+  cr_assert(fixture.recorded.delays == 1);
+  fixture.RunFor(std::chrono::milliseconds(1000));
+  fixture.RefuseOnce();
+  cr_assert(fixture.recorded.removals == 0);
+  fixture.RunFor(kUndelayed);
+  cr_assert(fixture.recorded.removals == 1);
+}
+
+// Guards against live servers that a host stops using because their entries lapsed in an outage.
+Test(control_feed, a_server_that_registers_again_after_an_outage_stays_in_use) {
+  feed_fixture fixture;
+  fixture.TakeStoreAway(kOutage);
+  cr_assert(fixture.recorded.delays == 1);
+  fixture.RunFor(std::chrono::milliseconds(1500));
+  fixture.store.Write("servers/i1", kServer);
+  fixture.RunFor(std::chrono::seconds(2));
+  cr_assert(fixture.recorded.removals == 0 && fixture.recorded.replicas.size() == 2);
+}
+
+// Guards against a host that follows another one and delays a removal, or does not, unlike the host
+// that has seen the outage.
+Test(control_feed, a_follower_delays_removals_as_its_relay_does) {
+  feed_fixture fixture;
+  fixture.feed.SetRelaying(true);
+  fixture.follower.SetSource(fixture.relay_address);
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.follower_recorded.replicas.size() == 2; });
+  fixture.RunFor(std::chrono::seconds(4));
+  fixture.TakeStoreAway(kOutage);
+  fixture.RunUntil([&] { return fixture.follower_recorded.delays == 1; });
+  fixture.RunUntil([&] { return fixture.follower_recorded.removals == 1; });
+  // The relay refuses its followers when it begins to follow another host itself.
+  fixture.feed.SetSource(socket_address{.ip = "127.0.0.1", .port = 1});
+  fixture.RunFor(std::chrono::milliseconds(300));
+  fixture.feed.SetSource(std::nullopt);
+  fixture.store.Remove("servers/i2");
+  fixture.RunFor(kUndelayed);
+  cr_assert(fixture.follower_recorded.removals == 2 && fixture.follower_recorded.delays == 1);
+}
--- a/tests/platform/test_store_relay.cc
+++ b/tests/platform/test_store_relay.cc
@@ -1,7 +1,4 @@
-#include <arpa/inet.h>
 #include <criterion/criterion.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <map>
 #include <string>
@@ -53,6 +50,7 @@
       relay_->SetSourceReachable(false);
     }
   }
+  void OnAnswered(duration) override {}
   void OnStoreRegained(duration) override {
     if (relay_ != nullptr) {
       relay_->SetSourceReachable(true);
@@ -69,15 +67,6 @@
   platform::store_relay* relay_;
 };
 
-socket_handle ListenOnFreePort(socket_address& address) {
-  auto handle = Listen({.ip = "127.0.0.1", .port = 0});
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(handle->fd(), reinterpret_cast<sockaddr*>(&bound), &size);
-  address = {.ip = "127.0.0.1", .port = ntohs(bound.sin_port)};
-  return std::move(handle.value());
-}
-
 /** The store, a host that relays it, and a host that follows the relay. */
 struct relay_fixture : loop_fixture {
   relay_fixture()
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -34,6 +34,7 @@
     }
   }
   void OnStoreLost(int) override { ++stores_lost; }
+  void OnAnswered(duration) override {}
   void OnStoreRegained(duration) override { ++stores_regained; }
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
 
