Store: hosts of a small fleet stay with a store that answers them again

Cause: source_selector remembers a failure of the store for 15 s, also when the store has answered the host since. As soon as another host was ahead, which is so after each change, a host followed that one, and went back at the next check. Change: a failure of the store counts only until the store has answered a later call of this host. Test: source_selector/a_host_stays_with_a_service_that_answers_it_again failed before and passes; test_control 21, test_node 29.

--- a/src/liblimpetlever/control/source_selector.cc
+++ b/src/liblimpetlever/control/source_selector.cc
@@ -106,8 +106,7 @@
   const bool is_direct =
       fleet_size <= kMaxDirectHosts || IsWatcher(members, own_data_centre_, own_name_);
   has_no_watcher_ = !is_direct && hosts.empty();
-  const bool has_service_failed = failed_at_.contains(kKeyValueService);
-  if (is_direct && (!has_service_failed || !evidence.are_others_ahead)) {
+  if (is_direct && (!HasServiceFailed(evidence) || !evidence.are_others_ahead)) {
     current_ = kKeyValueService;
   } else if (hosts.empty()) {
     const bool is_called = is_direct || alive.empty() || MayFallBack(evidence, now);
@@ -118,14 +117,25 @@
   return current_;
 }
 
+bool source_selector::HasServiceFailed(const source_evidence& evidence) const {
+  const auto failed = failed_at_.find(kKeyValueService);
+  if (failed == failed_at_.end()) {
+    return false;
+  }
+  const bool has_answered_since = evidence.is_service_answering && evidence.service_answered_at &&
+                                  *evidence.service_answered_at >= failed->second;
+  return !has_answered_since;
+}
+
 bool source_selector::MayFallBack(const source_evidence& evidence, instant now) const {
   const auto service_failed = failed_at_.find(kKeyValueService);
   const bool has_failed_lately =
       service_failed != failed_at_.end() && now - service_failed->second < kLeftBehindRetryDelay;
   const bool may_call =
       service_failed == failed_at_.end() || (evidence.is_left_behind && !has_failed_lately);
-  const bool is_answering =
-      evidence.is_service_answering && evidence.service_answered_at > failures_began_ && may_call;
+  const bool has_answered_lately =
+      !evidence.service_answered_at || *evidence.service_answered_at > failures_began_;
+  const bool is_answering = evidence.is_service_answering && has_answered_lately && may_call;
   const instant since = std::max(failures_began_, evidence.service_answers_since);
   return is_answering && (evidence.is_left_behind || now - since >= kFallbackDelay);
 }
--- a/src/liblimpetlever/control/source_selector.h
+++ b/src/liblimpetlever/control/source_selector.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_CONTROL_SOURCE_SELECTOR_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,8 +17,8 @@
   bool is_service_answering = true;
   /** Since when it has answered each of them. */
   instant service_answers_since{};
-  /** When it has last answered one. */
-  instant service_answered_at = instant::max();
+  /** When it has last answered one; nullopt if that is not known. */
+  std::optional<instant> service_answered_at;
   /** Whether other hosts have changes that this host does not have. */
   bool are_others_ahead = true;
   /** Whether they have had them for so long that this host cannot wait for its watchers. */
@@ -28,9 +29,10 @@
  * Selects the source from which a host reads changes: the key-value service or another host that
  * relays them. In a large fleet a few hosts (watchers) watch the service and the others follow a
  * watcher; in a small fleet a host follows another one only while its calls to the service fail
- * and other hosts are ahead. If all candidate watchers have failed, a host falls back to the
- * service for some seconds, but only if that is known to answer: a service that is away must not be
- * called by the whole fleet, and its return is told by the watchers.
+ * and other hosts are ahead, and goes back once the service answers one of its calls. If all
+ * candidate watchers have failed, a host falls back to the service for some seconds, but only if
+ * that is known to answer: a service that is away must not be called by the whole fleet, and its
+ * return is told by the watchers.
  */
 class source_selector {
  public:
@@ -62,6 +64,8 @@
                                       bool is_left_behind) const;
   /** The watchers of other data centres, of one or of all, in an order that is this host's own. */
   std::vector<std::string> RemoteCandidates(const std::vector<member>& members, bool has_all) const;
+  /** Whether the service has failed this host, and has not answered it since. */
+  bool HasServiceFailed(const source_evidence& evidence) const;
   /** Whether a host without a watcher that works may call the service itself. */
   bool MayFallBack(const source_evidence& evidence, instant now) const;
   /** The one of `hosts` that failed first, which is to be tried again. */
--- a/tests/control/test_source_selector.cc
+++ b/tests/control/test_source_selector.cc
@@ -85,6 +85,23 @@
   cr_assert(selector.Choose(hosts, 12, instant(seconds(16))).empty(), "the service is tried again");
 }
 
+// Guards against hosts of a small fleet that leave a service that answers them again for other
+// hosts which may not serve them, as long as these are ahead from time to time.
+Test(source_selector, a_host_stays_with_a_service_that_answers_it_again) {
+  const auto hosts = MakeFleet(4, 3);
+  source_selector selector(FirstWatcher(hosts, "d0"), "d0");
+  const instant failed{seconds(100)};
+  selector.Choose(hosts, 12, failed);
+  selector.OnFailed(failed);
+  const source_evidence refused{.is_service_answering = false,
+                                .service_answered_at = failed - seconds(1)};
+  cr_assert(!selector.Choose(hosts, 12, failed, refused).empty(), "it has not answered since");
+  const source_evidence answers{.service_answered_at = failed + seconds(1)};
+  cr_assert(selector.Choose(hosts, 12, failed + seconds(2), answers).empty());
+  selector.OnFailed(failed + seconds(3));
+  cr_assert(!selector.Choose(hosts, 12, failed + seconds(3), answers).empty(), "it fails again");
+}
+
 // Guards against a host that is left without a source when its watchers fail in turn or crash.
 Test(source_selector, a_host_falls_back_to_the_service) {
   auto hosts = MakeFleet(4, 30);
