Query: the time limit of a server is what is left when the request is sent

What callers saw: nothing; servers were told to work on a request for longer than its caller waits, by the time that the request had waited for a connection, up to seconds. The request with its time limit was written before the wait. Found while looking for related paths. Change: an attempt holds a function that writes the request; the pool calls it when it sends. Test: node_server/the_time_limit_of_a_server_is_what_is_left_when_the_request_is_sent failed 3 of 3 runs before (0 of at least 12 waiting requests had a shorter limit) and passes. test_node 31 passed.

--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -194,11 +194,11 @@
 }
 
 void query_service::SendAttempt(const query_ptr& query, const query_action& action) {
-  const instant now = loop_.Now();
-  const duration time_left = query->plan.deadline() - now - kDeadlineMargin;
   auto attempt = std::make_shared<replica_attempt>();
   attempt->target = action.target;
-  attempt->request = query->writer.Write(action.target->registered, time_left);
+  attempt->write_request = [query, target = action.target](duration time_left) {
+    return query->writer.Write(target->registered, time_left - kDeadlineMargin);
+  };
   attempt->is_head = query->writer.IsHead();
   attempt->priority = query->plan.matched_route().priority;
   attempt->deadline = query->plan.deadline();
@@ -225,7 +225,7 @@
                                                  {"reason", ToString(action.reason)},
                                                  {"replica", action.target->registered.id},
                                                  {"service", action.target->registered.service},
-                                                 {"after_ms", now - query->started}});
+                                                 {"after_ms", loop_.Now() - query->started}});
   }
   pools_.Send(std::move(attempt));
 }
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -19,8 +19,11 @@
 /** One request to a backend server, queued for a connection or in flight. */
 struct replica_attempt {
   std::shared_ptr<replica_record> target;
-  /** The complete HTTP request, as sent. */
-  std::string request;
+  /**
+   * Returns the complete HTTP request for a server that has `time_left` to answer. Called when it
+   * is sent, as that time passes while the attempt waits for a connection.
+   */
+  std::function<std::string(duration time_left)> write_request;
   /** Whether it is a HEAD request, whose response has no body. */
   bool is_head = false;
   /** 0 is the most urgent. Attempts waiting for a connection get one in this order. */
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -147,7 +147,8 @@
   attempt->connection = item.client.get();
   attempt->connection_number = item.number;
   item.attempt = std::move(attempt);
-  item.client->Send(item.attempt->request, item.attempt->is_head);
+  const duration time_left = item.attempt->deadline - loop_.Now();
+  item.client->Send(item.attempt->write_request(time_left), item.attempt->is_head);
 }
 
 void replica_pool::OpenConnection() {
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -204,6 +204,11 @@
     const std::lock_guard lock(mutex_);
     return runs_[id];
   }
+  /** The time limits that the servers were given for the requests that they have run. */
+  std::vector<int> TimeLimits() {
+    const std::lock_guard lock(mutex_);
+    return time_limits_ms_;
+  }
   /** How often a connection was closed while a server ran the request with this id. */
   int ClosedCount(const std::string& id) {
     const std::lock_guard lock(mutex_);
@@ -379,6 +384,7 @@
   void RecordRun(const std::shared_ptr<server_connection>& caller) {
     const std::lock_guard lock(mutex_);
     ++runs_[std::string(caller->request().Find("Attempt-Id"))];
+    time_limits_ms_.push_back(std::stoi(std::string(caller->request().Find("Deadline-Ms"))));
   }
 
   void Count(std::map<std::string, int>& counts, const std::string& id) {
@@ -476,6 +482,7 @@
   /** Entries of the servers in the store, by id. */
   std::map<std::string, std::string> entries_;
   std::map<std::string, int> runs_;
+  std::vector<int> time_limits_ms_;
   std::map<std::string, int> served_;
   std::map<std::string, int> refused_;
   /** Second copies of refusals that are still to be sent, by connection. */
--- a/tests/node/test_node_server.cc
+++ b/tests/node/test_node_server.cc
@@ -103,3 +103,32 @@
   cr_assert(again.status == 503 && fixture.RunCount("id-3") == 0);
   cr_assert(fixture.SendRequest("GET", "/i/2", "id-4").status == 200, "other requests are served");
 }
+
+// Guards against a server that works on a request longer than its caller waits: a request that has
+// waited for a connection has less time left than when it arrived.
+Test(node_server, the_time_limit_of_a_server_is_what_is_left_when_the_request_is_sent) {
+  constexpr int kRequests = 40;  // More than the connections to both servers.
+  constexpr int kDeadlineMs = 5000;
+  constexpr std::chrono::milliseconds kWork(800);
+  host_fixture fixture({{"s1", {.delay = kWork}}, {"s2", {.delay = kWork}}});
+  fixture.WaitUntilReady();
+  const std::size_t before = fixture.TimeLimits().size();
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.emplace_back([&fixture, i] {
+      fixture.SendRequest("POST", "/p/" + std::to_string(i), "id-" + std::to_string(i), "body",
+                          kDeadlineMs);
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  auto limits = fixture.TimeLimits();
+  limits.erase(limits.begin(), limits.begin() + static_cast<std::ptrdiff_t>(before));
+  cr_assert(limits.size() == kRequests, "%zu", limits.size());
+  const auto waited = std::count_if(limits.begin(), limits.end(), [&kWork](int limit) {
+    return limit <= kDeadlineMs - static_cast<int>(kWork.count());
+  });
+  // Each server has at most 14 connections of this host.
+  cr_assert(waited >= kRequests - 28, "%td", waited);
+}
--- a/tests/node/test_replica_pool.cc
+++ b/tests/node/test_replica_pool.cc
@@ -39,7 +39,9 @@
   std::shared_ptr<replica_attempt> Send(const std::string& target, duration time_left) {
     auto attempt = std::make_shared<replica_attempt>();
     attempt->target = record;
-    attempt->request = "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    attempt->write_request = [target](duration) {
+      return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    };
     attempt->deadline = loop.Now() + time_left;
     attempt->on_response = [](http_message&) { return true; };
     attempt->on_lost = [] {};
