--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -207,7 +207,7 @@
 
 void node_server::ApplySettings(const node_settings& settings) {
   settings_ = settings;
-  store_calls_.outages.SetMinOutage(platform::LongestHarmlessOutage(settings_.server_heartbeat));
+  store_calls_.outages.SetMinOutage(platform::ShortestLapsingOutage(settings_.server_heartbeat));
   callers_.SetMaxConnections(
       static_cast<std::size_t>((settings_.max_descriptors - kReservedDescriptors) / 2));
   UpdateShares();
