Node: suspected requests are a class of their own, and the wall clock is read in one place

Change: crash_reporter has that part as it was; ReadWallClock stands beside ReadBootClock. No change of behaviour.

--- a/src/limpetlever/net/event_loop.cc
+++ b/src/limpetlever/net/event_loop.cc
@@ -33,6 +33,10 @@
                                                       std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+wall_time ReadWallClock() {
+  return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+}
+
 event_loop::event_loop(clock_function clock) : clock_(std::move(clock)) {
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
--- a/src/limpetlever/net/event_loop.h
+++ b/src/limpetlever/net/event_loop.h
@@ -20,6 +20,8 @@
 
 /** Time since the host started, including the time for which it was suspended. */
 instant ReadBootClock();
+/** The time of day. It may jump, and differs between hosts. */
+wall_time ReadWallClock();
 
 /**
  * The event loop of a process's only thread: socket events from libevent, timers from
--- a/src/limpetlever/node/log_writer.cc
+++ b/src/limpetlever/node/log_writer.cc
@@ -61,10 +61,7 @@
     ++dropped_total_;
     return;
   }
-  const log_line_header origin{
-      .host = host_,
-      .time = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now()),
-      .sequence = sequence_};
+  const log_line_header origin{.host = host_, .time = ReadWallClock(), .sequence = sequence_};
   AppendLogLine(buffer_, origin, number, {fields.begin(), fields.size()});
   if (!is_flush_due_) {
     is_flush_due_ = true;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -76,7 +76,7 @@
 }
 
 member MakeSelf(const node_settings& settings) {
-  const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+  const auto now = ReadWallClock();
   return {.name = settings.name,
           .region = settings.region,
           .data_centre = settings.data_centre,
@@ -164,13 +164,14 @@
   ApplySettings(settings_);
   peers_.OnMembersChanged([this] { UpdateShares(); });
   peers_.OnCrashReport(
-      [this](const crash_report& report) { query_.MergeCrashReport(report, "peer"); });
+      [this](const crash_report& report) { query_.crashes().Merge(report, "peer"); });
   peers_.OnLimitEnded([this](const std::string& id) { query_.OnLimitEndedElsewhere(id); });
   query_.OnLimitEnded([this](const std::string& id) { peers_.BroadcastLimitEnded(id); });
-  query_.OnRequestBlocked(
+  query_.crashes().OnRequestBlocked(
       [this](const crash_report& report) { crash_reports_.Write(ToGossipEntry(report)); });
-  query_.OnCrashReport([this](const crash_report& report) { peers_.BroadcastCrashReport(report); });
-  pools_.OnConnectionRefused([this](const std::string& id) { query_.OnReplicaDown(id); });
+  query_.crashes().OnReport(
+      [this](const crash_report& report) { peers_.BroadcastCrashReport(report); });
+  pools_.OnConnectionRefused([this](const std::string& id) { query_.crashes().OnReplicaDown(id); });
   peers_.OnRejoin(
       [this] { registration_.ReplaceValue(platform::EncodeEntry(peers_.SelfEntry())); });
   loop_.OnPause([this](duration pause) { OnPause(pause); });
@@ -475,7 +476,7 @@
 void node_server::OnReplicaChanged(const replica& registered) {
   const auto known = replicas_.Find(registered.id);
   if (known && known->registered.started_ms != registered.started_ms) {
-    query_.OnReplicaDown(registered.id);
+    query_.crashes().OnReplicaDown(registered.id);
   }
   if (replicas_.Put(registered, loop_.Now())) {
     log_.Record(event_number::replica_changed,
@@ -492,7 +493,7 @@
   const bool has_left_as_planned = known && (known->registered.is_draining || known->is_leaving);
   if (replicas_.Remove(id, loop_.Now())) {
     if (!has_left_as_planned) {
-      query_.OnReplicaDown(id);
+      query_.crashes().OnReplicaDown(id);
     }
     log_.Record(event_number::replica_removed, {{"replica", id}});
   }
@@ -539,7 +540,7 @@
 
 void node_server::OnCrashReported(const gossip_entry& report) {
   if (const auto parsed = ParseCrashReport(report)) {
-    query_.MergeCrashReport(*parsed, "store");
+    query_.crashes().Merge(*parsed, "store");
   }
 }
 
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -169,7 +169,7 @@
   if (!host || host->name != self_.name || host->incarnation <= self_.incarnation) {
     return;
   }
-  const auto now = std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
+  const auto now = ReadWallClock();
   if (host->incarnation > (now + kMaxClockError).time_since_epoch().count()) {
     return;
   }
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -29,16 +29,10 @@
 // Subtracted from the caller's deadline for the backend server, so that its answer can be passed on
 // in time.
 constexpr duration kDeadlineMargin = std::chrono::milliseconds(5);
-// Capacity of crash_guard. Requests that crash servers are rare; an entry takes about 100 bytes.
-constexpr std::size_t kMaxFingerprints = 512;
 // Time that attempts still in flight after the answer are given to end by themselves. Cancelling
 // one costs its connection.
 constexpr duration kAbandonedAttemptTimeout = std::chrono::milliseconds(300);
 
-wall_time WallNow() {
-  return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now());
-}
-
 }  // namespace
 
 query_service::query_service(event_loop& loop,
@@ -52,7 +46,7 @@
       log_(log),
       metrics_(metrics),
       state_{.replicas = replicas, .random = random_source(seed)},
-      crash_guard_(kMaxFingerprints) {}
+      crashes_(loop, log) {}
 
 duration query_service::RandomRetryAfter() {
   return kRetryAfter + duration(static_cast<std::int64_t>(
@@ -95,7 +89,7 @@
     return;
   }
   const request_fingerprints fingerprints = ComputeFingerprints(request, caller->peer_ip());
-  if (IsBlocked(fingerprints)) {
+  if (crashes_.IsBlocked(fingerprints)) {
     Refuse(caller, kUnavailable, "crashes_servers", caller_options.request_id);
     return;
   }
@@ -206,7 +200,7 @@
     return OnResponse(query, number, response);
   };
   attempt->on_lost = [this, fingerprints = query->fingerprints, id = action.target->registered.id] {
-    AddLost(id, fingerprints);
+    crashes_.AddLost(id, fingerprints);
   };
   attempt->on_excluded = [this, query, number = action.attempt] { return Move(query, number); };
   for (const auto& earlier : query->answered_attempts) {
@@ -249,12 +243,12 @@
   if (!platform::IsAnswerTo(response, query->request_id)) {
     log_.Record(event_number::foreign_answer_dropped,
                 {{"id", query->request_id}, {"replica", target->registered.id}});
-    ApplyNotice(*target, platform::ParseNotice(response, WallNow()), loop_.Now(),
+    ApplyNotice(*target, platform::ParseNotice(response, ReadWallClock()), loop_.Now(),
                 state_.random.Unit());
     ReportNotice(*target, excluded_before);
     return false;
   }
-  auto reply = platform::ParseReply(response, WallNow());
+  auto reply = platform::ParseReply(response, ReadWallClock());
   if (reply.status / 100 != 2) {
     metrics_.OnAttemptFailed();
     log_.Record(event_number::attempt_failed, {{"id", query->request_id},
@@ -358,11 +352,7 @@
     query->cancel_attempts_at += kAbandonedAttemptTimeout;
   }
   if (outcome.IsComplete()) {
-    for (const std::uint64_t fingerprint : query->fingerprints) {
-      if (const auto report = crash_guard_.OnCompleted(fingerprint, WallNow())) {
-        PublishCrashReport(*report);
-      }
-    }
+    crashes_.OnCompleted(query->fingerprints);
   }
   const int missing = outcome.missing_shards;
   const route& query_route = query->plan.matched_route();
@@ -390,68 +380,12 @@
   query->caller.reset();
 }
 
-bool query_service::IsBlocked(const request_fingerprints& fingerprints) const {
-  return std::any_of(fingerprints.begin(), fingerprints.end(), [this](std::uint64_t fingerprint) {
-    return crash_guard_.IsBlocked(fingerprint, WallNow());
-  });
-}
-
 void query_service::CheckBlocked(const query_ptr& query) {
-  if (IsBlocked(query->fingerprints)) {
+  if (crashes_.IsBlocked(query->fingerprints)) {
     query->plan.ForbidRetries();
   }
 }
 
-void query_service::AddLost(const std::string& server, const request_fingerprints& fingerprints) {
-  for (const std::uint64_t fingerprint : fingerprints) {
-    lost_requests_.Add(server, fingerprint, loop_.Now());
-  }
-}
-
-void query_service::PublishCrashReport(const crash_report& report) {
-  log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(report.fingerprint)},
-                                              {"replica", report.server},
-                                              {"source", "own"}});
-  if (on_crash_report_) {
-    on_crash_report_(report);
-  }
-  if (!report.server.empty()) {
-    unstored_marks_.push_back(report);
-    if (unstored_marks_.size() > kMaxFingerprints) {
-      unstored_marks_.pop_front();
-    }
-    StoreMarksIfBlocked(report.fingerprint);
-  }
-}
-
-void query_service::StoreMarksIfBlocked(std::uint64_t fingerprint) {
-  if (!on_request_blocked_ || !crash_guard_.IsBlocked(fingerprint, WallNow())) {
-    return;
-  }
-  std::erase_if(unstored_marks_, [this, fingerprint](const crash_report& mark) {
-    const bool is_stored = mark.fingerprint == fingerprint;
-    if (is_stored) {
-      on_request_blocked_(mark);
-    }
-    return is_stored;
-  });
-}
-
-void query_service::MergeCrashReport(const crash_report& report, const char* source) {
-  log_.Record(event_number::crash_suspected, {{"fingerprint", std::to_string(report.fingerprint)},
-                                              {"replica", report.server},
-                                              {"source", source}});
-  crash_guard_.Merge(report, WallNow());
-  StoreMarksIfBlocked(report.fingerprint);
-}
-
-void query_service::OnReplicaDown(const std::string& id) {
-  for (const crash_report& report :
-       crash_guard_.OnServerCrash(id, lost_requests_.TakeForServer(id, loop_.Now()), WallNow())) {
-    PublishCrashReport(report);
-  }
-}
-
 void query_service::OnCallerDisconnected(const query_ptr& query) {
   if (std::exchange(query->is_answered, true)) {
     return;
@@ -471,7 +405,7 @@
       const bool was_sent = attempt->connection != nullptr;
       if (was_sent && !query->plan.outcome().IsComplete()) {
         // A server that crashed without closing its connections does not answer either.
-        AddLost(attempt->target->registered.id, query->fingerprints);
+        crashes_.AddLost(attempt->target->registered.id, query->fingerprints);
       }
       query->plan.OnCancelled(i, loop_.Now());
       pools_.Cancel(attempt);
--- a/src/limpetlever/node/query_service.h
+++ b/src/limpetlever/node/query_service.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,9 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "limits/crash_guard.h"
-#include "limits/crash_report.h"
-#include "limits/lost_requests.h"
+#include "node/crash_reporter.h"
 #include "node/running_query.h"
 #include "query/query_state.h"
 #include "replicas/exclusion.h"
@@ -45,26 +42,8 @@
   /** This host's share of the fleet's retry budget. */
   void SetRetryLimits(const retry_limits& limits) { state_.budget_limits = limits; }
 
-  /**
-   * Sets the function that sends other hosts a report on a request suspected of crashing servers.
-   */
-  void OnCrashReport(std::function<void(const crash_report&)> call) {
-    on_crash_report_ = std::move(call);
-  }
-  /**
-   * Sets the function that stores a report of this host for hosts that start later; called once the
-   * request is blocked.
-   */
-  void OnRequestBlocked(std::function<void(const crash_report&)> call) {
-    on_request_blocked_ = std::move(call);
-  }
-  /** Merges a report of another host; `source` goes into the log. */
-  void MergeCrashReport(const crash_report& report, const char* source);
-  /**
-   * To be called when a backend server refuses connections, has left or has restarted. Requests
-   * recently lost on it are then suspected of having crashed it.
-   */
-  void OnReplicaDown(const std::string& id);
+  /** The requests that are suspected of crashing servers. */
+  crash_reporter& crashes() { return crashes_; }
 
   /** Sets the function that tells other hosts that a server no longer names a limit. */
   void OnLimitEnded(std::function<void(const std::string&)> call) {
@@ -117,16 +96,8 @@
   void ReportLimit(const replica_record& record, double before);
   void OnFailure(const query_ptr& query, std::uint32_t attempt, attempt_failure failure);
   void Answer(const query_ptr& query);
-  /** Whether the request is known to crash servers. */
-  bool IsBlocked(const request_fingerprints& fingerprints) const;
-  /** Records that a request was lost while `server` may have been running it. */
-  void AddLost(const std::string& server, const request_fingerprints& fingerprints);
   /** Stops further attempts if the request is known to crash servers. */
   void CheckBlocked(const query_ptr& query);
-  /** Logs a report of this host and passes it to the other hosts. */
-  void PublishCrashReport(const crash_report& report);
-  /** Passes the marks of this host to `on_request_blocked_` if the request is blocked. */
-  void StoreMarksIfBlocked(std::uint64_t fingerprint);
   void OnCallerDisconnected(const query_ptr& query);
   /** Cancels all attempts in flight and closes their connections. */
   void CancelAttempts(const query_ptr& query);
@@ -150,13 +121,8 @@
   std::unordered_map<const running_query*, std::weak_ptr<running_query>> running_;
   std::optional<instant> stop_at_;
   instant suspended_until_;
-  crash_guard crash_guard_;
-  lost_requests lost_requests_;
-  std::function<void(const crash_report&)> on_crash_report_;
-  std::function<void(const crash_report&)> on_request_blocked_;
+  crash_reporter crashes_;
   std::function<void(const std::string&)> on_limit_ended_;
-  /** Marks of this host that were not passed to `on_request_blocked_`, the oldest first. */
-  std::deque<crash_report> unstored_marks_;
 };
 
 }  // namespace limpetlever
