Net: the passes over ready sockets after a delay are bounded

What callers saw: a host that was late once (20 ms) and whose sockets were ready at each moment after that ran no timer any more: no deadline, no heartbeat, no end of a graceful stop.

Cause: HandleReadyEvents called libevent with EVLOOP_NONBLOCK alone, which returns only when nothing is ready.

Evidence: stack of a hung run (Run, event_base_loop in HandleReadyEvents, OnReadable, accept4), 18,500 descriptors, log silent 1.7 s after SIGTERM. Ruled out: the accept loop (bounded), a lost signal, a death of the process, SIGPIPE.

The new test fails before ("no timer ran in 10000 calls") and passes after.

--- a/src/limpetlever/net/event_loop.cc
+++ b/src/limpetlever/net/event_loop.cc
@@ -111,7 +111,9 @@
 
 void event_loop::HandleReadyEvents() {
   for (int pass = 0; pass < kLatePasses; ++pass) {
-    event_base_loop(base_, EVLOOP_NONBLOCK);
+    // With EVLOOP_NONBLOCK alone the call goes on while any socket is ready: under load, without
+    // end.
+    event_base_loop(base_, EVLOOP_NONBLOCK | EVLOOP_ONCE);
   }
 }
 
--- a/tests/net/test_event_loop.cc
+++ b/tests/net/test_event_loop.cc
@@ -4,8 +4,10 @@
 #include <unistd.h>
 
 #include <array>
+#include <functional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/event_loop.h"
@@ -35,6 +37,24 @@
   const int fd_;
 };
 
+/** Leaves what it could read, so that its socket stays readable, up to a number of calls. */
+class busy_handler : public io_watch::handler {
+ public:
+  busy_handler(int max_calls, std::function<void()> on_last)
+      : max_calls_(max_calls), on_last_(std::move(on_last)) {}
+  void OnReadable() override {
+    if (++calls == max_calls_) {
+      on_last_();
+    }
+  }
+  void OnWritable() override {}
+  int calls = 0;
+
+ private:
+  const int max_calls_;
+  const std::function<void()> on_last_;
+};
+
 }  // namespace
 
 // Guards against a process that ends because the handling of one message, timer or deferred call
@@ -82,3 +102,33 @@
   cr_assert(pauses[0] > seconds(6) && pauses[0] < seconds(8));
   cr_assert(loop.last_pause().length == pauses[0]);
 }
+
+// Guards against a loop whose timers never run again after a delay, since some socket is ready at
+// each moment, as under load.
+Test(event_loop, runs_timers_after_a_delay_although_a_socket_is_always_ready) {
+  constexpr int kMaxCalls = 10'000;
+  std::array<int, 2> ends{};
+  cr_assert(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+  duration offset{};
+  event_loop loop([&offset] { return ReadBootClock() + offset; });
+  busy_handler handler(kMaxCalls, [&] {
+    std::array<char, 1> byte{};
+    cr_assert(read(ends[0], byte.data(), byte.size()) == 1);
+    loop.Stop();
+  });
+  io_watch watch(loop, ends[0], handler);
+  watch.WantRead(true);
+  cr_assert(write(ends[1], "x", 1) == 1);
+  bool has_run = false;
+  // The first timer delays the loop, so that the second one is late.
+  loop.timers().Subscribe(loop.Now() + milliseconds(20), [&](instant) { offset += seconds(1); });
+  loop.timers().Subscribe(loop.Now() + milliseconds(40), [&](instant) {
+    has_run = true;
+    loop.Stop();
+  });
+  loop.Run();
+  cr_assert(has_run && handler.calls < kMaxCalls, "no timer ran in %d calls", handler.calls);
+  watch.WantRead(false);
+  close(ends[0]);
+  close(ends[1]);
+}
