Node: a request does not wait for a leaving server for longer than the server serves

Cause: replica_pool asked each waiting attempt once for another server and kept it after that without a bound; query_plan::Move looked only for servers that the request had not asked, not for one that had refused it and has recovered. The same held for servers that are gone, leave or are in a data centre that was taken out.

Change: DecideWaiting says before each send whether an attempt stays, moves or leaves, by what excludes the server and since when (replica_record::excluded_since, one second). Attempts look for another server every 20 ms, also for one that has refused the request and has answered another one since. What ends without a send is retried or answered; attempt_failed has the cause excluded. An attempt that is cancelled by a function of another one is not put back into the queue.

Ruled out: moving back to a server that refused the request without a sign that it serves: it would use up the four sends at once. A shorter bound: requests that a draining server still serves would be refused.

The new test of replica_pool fails with a bound of 1,000 s (received /late) and passes. test_query, test_replicas, test_node pass.

--- a/src/liblimpetlever/query/attempt_failure.cc
+++ b/src/liblimpetlever/query/attempt_failure.cc
@@ -6,8 +6,8 @@
   switch (failure) {
     case attempt_failure::not_connected:
       return "not_connected";
-    case attempt_failure::not_sent:
-      return "not_sent";
+    case attempt_failure::excluded:
+      return "excluded";
     case attempt_failure::connection_lost:
       return "connection_lost";
     case attempt_failure::malformed_answer:
--- a/src/liblimpetlever/query/attempt_failure.h
+++ b/src/liblimpetlever/query/attempt_failure.h
@@ -7,8 +7,8 @@
 enum class attempt_failure {
   /** No connection could be opened, so nothing was sent. */
   not_connected,
-  /** Nothing was sent for another reason, such as a full send queue on this host. */
-  not_sent,
+  /** Nothing was sent, since the server may not be sent the request any more. */
+  excluded,
   /** The connection closed after the request was sent and before the answer was complete. */
   connection_lost,
   /** The answer is not valid HTTP, or lacks a mandatory element. */
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -213,14 +213,17 @@
   }
 }
 
-std::shared_ptr<replica_record> query_plan::ChooseTarget(const shard_state& shard, instant now) {
-  if (static_cast<int>(shard.tried.size()) < route_.max_attempts) {
-    if (auto untried = ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_,
-                                     state_.random, now)) {
-      return untried;
-    }
+std::shared_ptr<replica_record> query_plan::ChooseUntried(const shard_state& shard, instant now) {
+  if (static_cast<int>(shard.tried.size()) >= route_.max_attempts) {
+    return nullptr;
   }
-  // No further server may be asked: repeat one that has already refused or failed this query.
+  return ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_, state_.random,
+                       now);
+}
+
+std::shared_ptr<replica_record> query_plan::ChooseAgain(const shard_state& shard,
+                                                        bool only_serving,
+                                                        instant now) {
   std::vector<const replica_record*> excluded;
   for (const auto& record : state_.replicas.FindByService(shard.service)) {
     const bool was_tried =
@@ -228,7 +231,8 @@
     const bool is_open = std::any_of(
         attempts_.begin(), attempts_.end(),
         [&record](const attempt_state& item) { return item.is_open && item.target == record; });
-    if (!was_tried || is_open) {
+    const bool is_left_out = only_serving && record->answered_at <= record->refused_at;
+    if (!was_tried || is_open || is_left_out) {
       excluded.push_back(record.get());
     }
   }
@@ -240,11 +244,23 @@
                       send_reason reason,
                       instant now,
                       action_list& actions) {
-  shard_state& shard = shards_[shard_index];
-  auto target = ChooseTarget(shard, now);
+  auto target = ChooseUntried(shards_[shard_index], now);
+  if (!target) {
+    target = ChooseAgain(shards_[shard_index], false, now);
+  }
   if (!target) {
     return false;
   }
+  SendTo(shard_index, std::move(target), reason, now, actions);
+  return true;
+}
+
+void query_plan::SendTo(std::size_t shard_index,
+                        std::shared_ptr<replica_record> target,
+                        send_reason reason,
+                        instant now,
+                        action_list& actions) {
+  shard_state& shard = shards_[shard_index];
   if (std::find(shard.tried.begin(), shard.tried.end(), target.get()) == shard.tried.end()) {
     shard.tried.push_back(target.get());
   }
@@ -261,7 +277,6 @@
                      .attempt = attempt,
                      .reason = reason,
                      .target = std::move(target)});
-  return true;
 }
 
 void query_plan::CloseAttempt(attempt_state& item) {
@@ -296,11 +311,14 @@
   const bool is_success = HttpStatusClass(reply.status) == 2 && !reply.signature.empty();
   if (is_success) {
     record.load.OnAnswered(item.sent, now, choice_options_.typical_latency);
+    record.answered_at = now;
     state_.latencies[route_.name].Add(now - item.sent);
   } else {
     record.load.OnFailed(item.sent, now);
   }
+  record.refused_at = reply.is_not_run ? now : record.refused_at;
   record.is_misdirected = record.is_misdirected || reply.is_misdirected;
+  UpdateExclusion(record, now);
   may_have_run_ = may_have_run_ || !reply.is_not_run;
   shard_state& shard = shards_[item.shard];
   if (is_done_ || shard.is_answered) {
@@ -329,7 +347,11 @@
     return;
   }
   CloseAttempt(item);
-  item.target->load.OnFailed(item.sent, now);
+  if (failure == attempt_failure::excluded) {
+    item.target->load.OnWithdrawn(item.sent);
+  } else {
+    item.target->load.OnFailed(item.sent, now);
+  }
   const bool may_have_run = MayHaveRun(failure);
   may_have_run_ = may_have_run_ || may_have_run;
   if (is_done_ || shards_[item.shard].is_answered) {
@@ -346,23 +368,24 @@
 bool query_plan::Move(std::uint32_t attempt, instant now, action_list& actions) {
   attempt_state& item = attempts_[attempt];
   shard_state& shard = shards_[item.shard];
-  if (!item.is_open || is_done_ || shard.is_answered || shard.sends >= kMaxSendsPerShard) {
+  if (!item.is_open || is_done_ || shard.is_answered) {
     return false;
   }
   // Nothing was sent to this server, so that it does not count as one that was asked.
   std::erase(shard.tried, item.target.get());
-  const bool has_other = static_cast<int>(shard.tried.size()) < route_.max_attempts &&
-                         ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_,
-                                       state_.random, now) != nullptr;
-  if (!has_other) {
+  auto other = ChooseUntried(shard, now);
+  if (!other) {
+    other = ChooseAgain(shard, true, now);
+  }
+  if (!other) {
     shard.tried.push_back(item.target.get());
     return false;
   }
   CloseAttempt(item);
   item.target->load.OnWithdrawn(item.sent);
   --shard.sends;
-  const std::size_t shard_index = item.shard;
-  return Send(shard_index, send_reason::moved, now, actions);
+  SendTo(item.shard, std::move(other), send_reason::moved, now, actions);
+  return true;
 }
 
 void query_plan::OnCancelled(std::uint32_t attempt, instant now) {
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -55,7 +55,8 @@
   void OnFailure(std::uint32_t attempt, attempt_failure failure, instant now, action_list& actions);
   /**
    * The server of `attempt`, which was not sent yet, is no longer in use. Sends the request to
-   * another server of the shard and returns true, or returns false if there is none.
+   * another server of the shard and returns true, or returns false if there is none. May be called
+   * again later: a server may have been added, or may have recovered.
    */
   bool Move(std::uint32_t attempt, instant now, action_list& actions);
   /** This host cancelled `attempt` before its answer arrived. */
@@ -129,8 +130,23 @@
   void OmitLateShards(int possible, instant now);
   /** Expected latency of the fastest usable server of a shard. */
   duration ExpectedShardLatency(const shard_state& shard, instant now) const;
+  /** Sends an attempt to the best server that may be asked; returns false if there is none. */
   bool Send(std::size_t shard, send_reason reason, instant now, action_list& actions);
-  std::shared_ptr<replica_record> ChooseTarget(const shard_state& shard, instant now);
+  void SendTo(std::size_t shard,
+              std::shared_ptr<replica_record> target,
+              send_reason reason,
+              instant now,
+              action_list& actions);
+  /** A server that this query has not asked yet; nullptr if there is none or no more may be asked.
+   */
+  std::shared_ptr<replica_record> ChooseUntried(const shard_state& shard, instant now);
+  /**
+   * A server that has already refused or failed this query. If `only_serving`, it has also answered
+   * a request since it last refused one.
+   */
+  std::shared_ptr<replica_record> ChooseAgain(const shard_state& shard,
+                                              bool only_serving,
+                                              instant now);
   void Retry(std::size_t shard, bool reached_server, instant now, action_list& actions);
   void Hedge(std::size_t shard, instant now, action_list& actions);
   void RecordAnswer(std::size_t shard, replica_reply reply);
--- a/src/liblimpetlever/replicas/admission.cc
+++ b/src/liblimpetlever/replicas/admission.cc
@@ -8,6 +8,14 @@
 
 namespace limpetlever {
 
+namespace {
+
+// A server that drains, or whose entry was removed, serves for 3 s after the store has confirmed it
+// (drainMs). This host hears of it later, and the request still has to run.
+constexpr duration kMaxWaitAfterExclusion = std::chrono::seconds(1);
+
+}  // namespace
+
 exclusion LastingExclusion(const replica_record& record) {
   if (!record.is_registered) {
     return exclusion::not_registered;
@@ -28,6 +36,26 @@
   return LastingExclusion(record) == exclusion::none;
 }
 
+void UpdateExclusion(replica_record& record, instant now) {
+  if (IsUsable(record)) {
+    record.excluded_since = std::nullopt;
+  } else if (!record.excluded_since) {
+    record.excluded_since = now;
+  }
+}
+
+waiting_decision DecideWaiting(const replica_record& record, instant now) {
+  // Another server at its address would refuse the request.
+  if (record.pause.IsPausing(now) || record.is_misdirected) {
+    return waiting_decision::leave;
+  }
+  if (!record.excluded_since) {
+    return waiting_decision::stay;
+  }
+  return now - *record.excluded_since < kMaxWaitAfterExclusion ? waiting_decision::move
+                                                               : waiting_decision::leave;
+}
+
 admission CheckAdmission(const replica_record& record, instant now) {
   if (const exclusion lasting = LastingExclusion(record); lasting != exclusion::none) {
     return {.reason = lasting, .next = std::nullopt};
@@ -59,6 +87,7 @@
 
 void ApplyNotice(replica_record& record, const server_notice& notice, instant now, double spread) {
   record.is_leaving = record.is_leaving || notice.is_leaving;
+  UpdateExclusion(record, now);
   if (notice.pause) {
     record.pause.OnAsked(*notice.pause, now, spread);
   }
--- a/src/liblimpetlever/replicas/admission.h
+++ b/src/liblimpetlever/replicas/admission.h
@@ -6,6 +6,7 @@
 
 #include "base/time_types.h"
 #include "replicas/exclusion.h"
+#include "replicas/waiting_decision.h"
 
 namespace limpetlever {
 
@@ -31,10 +32,19 @@
 /** Whether the server is in use, although it may not be sent a request at this moment. */
 bool IsUsable(const replica_record& record);
 
+/** To be called after each change of what LastingExclusion depends on. */
+void UpdateExclusion(replica_record& record, instant now);
+
 admission CheckAdmission(const replica_record& record, instant now);
 /** The admission of the server of `service` that may be sent a request first. */
 admission CheckAdmission(const replica_registry& replicas, const std::string& service, instant now);
 
+/**
+ * What happens to a request that waits for a connection to the server. Depends on the time: a
+ * server that leaves serves for some time only.
+ */
+waiting_decision DecideWaiting(const replica_record& record, instant now);
+
 /** Applies what an answer says. `spread` (0 to 1) is random; see request_pause::OnAsked. */
 void ApplyNotice(replica_record& record, const server_notice& notice, instant now, double spread);
 
--- a/src/liblimpetlever/replicas/replica_record.h
+++ b/src/liblimpetlever/replicas/replica_record.h
@@ -1,6 +1,8 @@
 #ifndef LIMPETLEVER_REPLICAS_REPLICA_RECORD_H_
 #define LIMPETLEVER_REPLICAS_REPLICA_RECORD_H_
 
+#include <optional>
+
 #include "base/time_types.h"
 #include "limits/request_limit.h"
 #include "limits/request_pause.h"
@@ -29,6 +31,11 @@
   bool is_misdirected = false;
   /** Whether an answer of this process has said that it is leaving. */
   bool is_leaving = false;
+  /** Since when LastingExclusion has a reason; see UpdateExclusion. */
+  std::optional<instant> excluded_since;
+  /** When it last refused a request of this host, and when it last answered one. */
+  instant refused_at;
+  instant answered_at;
   /** Whether it is in the data centre of this host. */
   bool is_local = false;
 };
--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -63,6 +63,7 @@
   record.cold_until = now + registered.warm_up_left;
   record.is_registered = true;
   record.is_data_centre_out = taken_out_.contains(registered.data_centre);
+  UpdateExclusion(record, now);
 }
 
 bool replica_registry::Remove(const std::string& id, instant now) {
@@ -72,6 +73,7 @@
   }
   ForgetRemoved(now);
   known->second->is_registered = false;
+  UpdateExclusion(*known->second, now);
   RemoveFromService(known->second);
   removed_[id] = {.record = known->second, .at = now};
   by_id_.erase(known);
@@ -99,13 +101,14 @@
   }
 }
 
-bool replica_registry::SetTakenOut(std::set<std::string> data_centres) {
+bool replica_registry::SetTakenOut(std::set<std::string> data_centres, instant now) {
   if (data_centres == taken_out_) {
     return false;
   }
   taken_out_ = std::move(data_centres);
   for (const auto& [id, record] : by_id_) {
     record->is_data_centre_out = taken_out_.contains(record->registered.data_centre);
+    UpdateExclusion(*record, now);
   }
   return true;
 }
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -40,7 +40,7 @@
    */
   bool Remove(const std::string& id, instant now);
   /** Sets the data centres whose servers get no attempts. Returns whether the set has changed. */
-  bool SetTakenOut(std::set<std::string> data_centres);
+  bool SetTakenOut(std::set<std::string> data_centres, instant now);
 
   /** Sets the hosts that share the limits of the servers. */
   void SetLimitSharers(limit_sharers sharers, instant now);
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -520,7 +520,7 @@
   for (const std::string& name : data_centres) {
     names += (names.empty() ? "" : ",") + name;
   }
-  if (replicas_.SetTakenOut(std::move(data_centres))) {
+  if (replicas_.SetTakenOut(std::move(data_centres), loop_.Now())) {
     log_.Record(event_number::data_centres_taken_out, {{"data_centres", names}});
   }
 }
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -40,14 +40,12 @@
   /** Called if the attempt fails. No function is called after Cancel. */
   std::function<void(attempt_failure)> on_failure;
   /**
-   * Called while it waits for a connection to a server that is no longer in use. Returns true if
-   * the request goes to another server; the attempt is then over.
+   * Called, possibly several times, while it waits for a connection to a server that is no longer
+   * in use. Returns true if the request goes to another server; the attempt is then over.
    */
   std::function<bool()> on_excluded;
   /** Whether the query has ended it; no function is called and nothing is sent any more. */
   bool is_cancelled = false;
-  /** Whether `on_excluded` was called and no other server was found. */
-  bool was_not_moved = false;
   /**
    * Connections on which the same request was sent to this server before. A second copy of an
    * earlier answer could arrive there, and its id would be the same.
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -26,6 +26,9 @@
 // timeout a request could be sent while the server is closing the connection.
 constexpr double kIdleTimeoutFraction = 0.7;
 constexpr duration kDefaultIdleTimeout = std::chrono::seconds(20);
+// Attempts that wait for a server that leaves look for another one at this period. Many may wait,
+// and each looks at all servers of its shard.
+constexpr duration kMovePeriod = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -76,25 +79,26 @@
 }
 
 void replica_pool::MoveWaiting() {
-  const bool is_pausing = target_->pause.IsPausing(loop_.Now());
-  if (waiting_.empty() || (IsUsable(*target_) && !is_pausing)) {
+  const waiting_decision decision = DecideWaiting(*target_, loop_.Now());
+  const bool must_leave = decision == waiting_decision::leave;
+  if (waiting_.empty() || decision == waiting_decision::stay ||
+      (!must_leave && loop_.Now() < next_move_)) {
     return;
   }
+  next_move_ = loop_.Now() + kMovePeriod;
   std::deque<std::shared_ptr<replica_attempt>> kept;
   for (const auto& attempt : std::exchange(waiting_, {})) {
-    if (attempt->is_cancelled) {
-      continue;  // By a function of an attempt before it.
-    }
-    if (!attempt->was_not_moved && attempt->on_excluded()) {
+    // Functions of the attempts before it may have cancelled it.
+    if (attempt->is_cancelled || attempt->on_excluded()) {
       continue;
     }
-    attempt->was_not_moved = true;
-    if (is_pausing) {
-      attempt->on_failure(attempt_failure::not_sent);
+    if (must_leave) {
+      attempt->on_failure(attempt_failure::excluded);
     } else {
       kept.push_back(attempt);
     }
   }
+  std::erase_if(kept, [](const auto& attempt) { return attempt->is_cancelled; });
   waiting_.insert(waiting_.begin(), kept.begin(), kept.end());
 }
 
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -77,7 +77,7 @@
   void MakeRoomForAvoiding();
   /**
    * If the server is no longer in use, moves waiting attempts to other servers. Those that cannot
-   * be moved fail if the server wants no request, and else are sent: it serves them before it ends.
+   * be moved keep waiting while the server still serves them (DecideWaiting), and fail after that.
    */
   void MoveWaiting();
   void SendOn(pooled_connection& item, std::shared_ptr<replica_attempt> attempt);
@@ -111,6 +111,8 @@
   /** Attempts whose connection was lost and that were not reported as failed yet. */
   std::vector<std::shared_ptr<replica_attempt>> lost_;
   timer_service::timer_id crash_check_ = 0;
+  /** When waiting attempts look for another server again. */
+  instant next_move_;
   /** Sorted by priority, the most urgent first, and within a priority by arrival. */
   std::deque<std::shared_ptr<replica_attempt>> waiting_;
 };
--- a/src/limpetlever/node/replica_pools.cc
+++ b/src/limpetlever/node/replica_pools.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "config/route_table.h"
 #include "net/event_loop.h"
@@ -68,8 +69,16 @@
 }
 
 void replica_pools::Sweep() {
+  // A sweep may move an attempt to a server without a pool, which adds one.
+  std::vector<replica_pool*> swept;
+  swept.reserve(pools_.size());
+  for (const auto& [key, pool] : pools_) {
+    swept.push_back(pool.get());
+  }
+  for (replica_pool* pool : swept) {
+    pool->Sweep();
+  }
   for (auto item = pools_.begin(); item != pools_.end();) {
-    item->second->Sweep();
     if (item->second->IsEmpty()) {
       // A connection of the pool may still be on the call stack or awaiting deferred destruction.
       loop_.Defer([held = std::shared_ptr<replica_pool>(std::move(item->second))] {});
--- a/tests/node/test_replica_pool.cc
+++ b/tests/node/test_replica_pool.cc
@@ -13,6 +13,7 @@
 #include "net/server_connection.h"
 #include "node/node_metrics.h"
 #include "node/replica_pool.h"
+#include "replicas/admission.h"
 #include "replicas/replica_record.h"
 
 using namespace limpetlever;
@@ -47,7 +48,7 @@
     attempt->deadline = loop.Now() + time_left;
     attempt->on_response = [](http_message&) { return true; };
     attempt->on_lost = [] {};
-    attempt->on_failure = [](attempt_failure) {};
+    attempt->on_failure = [this, target](attempt_failure failure) { failed[target] = failure; };
     attempt->on_excluded = [] { return false; };
     pool->Send(attempt);
     return attempt;
@@ -63,6 +64,7 @@
   node_metrics metrics;
   const socket_address address;
   std::vector<std::string> received;
+  std::map<std::string, attempt_failure> failed;
   /** What the requests say of the time left, by target. */
   std::map<std::string, duration> stated_times;
   std::function<void(const std::shared_ptr<server_connection>&)> on_request;
@@ -113,3 +115,26 @@
   cr_assert(fixture.stated_times.at("/first") > kTimeLeft - kWait);
   cr_assert(fixture.stated_times.at("/second") <= kTimeLeft - kWait);
 }
+
+// Guards against a request that reaches a server long after it began to drain, and is lost when the
+// server ends: it has waited for a connection, and no other server took it.
+Test(replica_pool, sends_no_attempt_long_after_its_server_began_to_drain) {
+  pool_fixture fixture;
+  std::vector<std::shared_ptr<server_connection>> callers;
+  fixture.on_request = [&](const auto& caller) { callers.push_back(caller); };
+  fixture.Send("/first", std::chrono::seconds(30));
+  fixture.Send("/soon", std::chrono::seconds(30));
+  fixture.Send("/late", std::chrono::seconds(30));
+  fixture.RunFor(std::chrono::milliseconds(200));
+  fixture.record->registered.is_draining = true;
+  UpdateExclusion(*fixture.record, fixture.loop.Now());
+  AnswerOk(callers.back());
+  fixture.RunFor(std::chrono::milliseconds(200));
+  cr_assert(fixture.received.size() == 2, "it still serves what waits");
+  fixture.clock_ahead += std::chrono::seconds(2);
+  AnswerOk(callers.back());
+  fixture.RunFor(std::chrono::milliseconds(200));
+  const std::vector<std::string> expected = {"/first", "/soon"};
+  cr_assert(fixture.received == expected);
+  cr_assert(fixture.failed.at("/late") == attempt_failure::excluded);
+}
--- a/tests/query/test_server_notices.cc
+++ b/tests/query/test_server_notices.cc
@@ -144,6 +144,27 @@
   cr_assert(plan->IsDone() && plan->outcome().HasAnswer());
 }
 
+// Guards against an attempt that stays with a server that leaves, although another one, which has
+// refused it before, has recovered, and against one that goes back to a server that is still full.
+Test(server_notices, an_attempt_moves_to_a_server_that_has_recovered) {
+  query_fixture fixture(1);
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  const auto full = query_fixture::Sends(actions)[0].target;
+  actions.clear();
+  plan->OnReply(0, query_fixture::RefusalReply(), fixture.now, actions);
+  const auto leaving = query_fixture::Sends(actions)[0].target;
+  cr_assert(leaving != full);
+  ApplyNotice(*leaving, {.is_leaving = true}, fixture.now, 0.0);
+  actions.clear();
+  cr_assert(!plan->Move(1, fixture.now, actions) && actions.empty());
+  fixture.Advance(50);
+  full->answered_at = fixture.now;
+  cr_assert(plan->Move(1, fixture.now, actions));
+  cr_assert(query_fixture::Sends(actions)[0].target == full);
+}
+
 // Guards against an answer "may have run" to a request that reached no server: its caller could not
 // repeat it.
 Test(server_notices, a_request_that_was_not_sent_has_not_run) {
--- a/tests/replicas/test_replica_registry.cc
+++ b/tests/replicas/test_replica_registry.cc
@@ -55,9 +55,9 @@
 Test(replica_registry, servers_of_a_data_centre_taken_out_are_not_usable) {
   replica_registry registry("dc-a");
   registry.Put(Server("i1"), now);
-  cr_assert(registry.SetTakenOut({"dc-a"}));
+  cr_assert(registry.SetTakenOut({"dc-a"}, now));
   registry.Put(Server("i2"), now);
   cr_assert(!IsUsable(*registry.Find("i1")) && !IsUsable(*registry.Find("i2")));
-  cr_assert(registry.SetTakenOut({}));
+  cr_assert(registry.SetTakenOut({}, now));
   cr_assert(IsUsable(*registry.Find("i1")) && IsUsable(*registry.Find("i2")));
 }
