Store: an entry that lacks a field names no server

PROTOCOL lists these fields for each entry, and says that an entry with missing fields names no replica to use.

Related paths: entries of hosts and crash reports already require all their fields; a configuration has a sender of its own. Fixtures of our tests wrote incomplete entries: they are complete now, and each refused entry differs from a good one in one member, so that it is refused for the reason that the test names.

--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -259,6 +259,8 @@
     return !unnoticed_writes_.empty();
   }
 
+  /** The entry that a server has written. */
+  const std::string& EntryOf(const std::string& id) const { return entries_.at(id); }
   /** Writes the entry of a server again, as it does after its entry has been replaced. */
   void RegisterServer(const std::string& id) { WriteToStore("servers/" + id, entries_.at(id)); }
   /** Writes that a server is draining, as it does before it leaves. */
@@ -362,7 +364,8 @@
     start_functions_.push_back(start);
     entries_[id] = "{\"service\":\"" + service +
                    "\",\"address\":\"127.0.0.1:" + std::to_string(address.port) +
-                   "\",\"zone\":\"dc-a\",\"slots\":2,\"state\":\"ready\",\"born\":1}";
+                   "\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\"," +
+                   R"("warmupLeftMs":0,"seq":1,"born":1})";
     store.Write("servers/" + id, entries_[id]);
   }
 
--- a/tests/node/test_odd_entries.cc
+++ b/tests/node/test_odd_entries.cc
@@ -7,18 +7,23 @@
 constexpr int kOddEntries = 9;
 constexpr std::size_t kDeepNesting = 200'000;
 
+// The rest of a complete entry.
+constexpr const char* kRest =
+    R"("version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"seq":1)";
+
 void WriteOddEntries(host_fixture& fixture) {
+  const std::string rest = kRest;
   const std::string deep(kDeepNesting, '[');
   fixture.WriteToStore("servers/deep", deep);
   fixture.WriteToStore("servers/large", R"({"service":"single","address":"127.0.0.1:80","zone":")" +
-                                            std::string(500'000, 'x') +
-                                            R"(","slots":2,"state":"ready"})");
+                                            std::string(500'000, 'x') + R"(","born":1,)" + rest +
+                                            "}");
   fixture.WriteToStore("servers/number",
-                       R"({"service":"single","address":"127.0.0.1:80","zone":"dc-a","slots":2,)"
-                       R"("state":"ready","born":1e300})");
-  fixture.WriteToStore("servers/port",
-                       R"({"service":"single","address":"127.0.0.1:99999","zone":"dc-a",)"
-                       R"("slots":2,"state":"ready"})");
+                       R"({"service":"single","address":"127.0.0.1:80","zone":"dc-a",)" + rest +
+                           R"(,"born":1e300})");
+  fixture.WriteToStore(
+      "servers/port",
+      R"({"service":"single","address":"127.0.0.1:99999","zone":"dc-a",)" + rest + R"(,"born":1})");
   fixture.WriteToStore("hosts/deep", deep);
   fixture.WriteToStore("hosts/number",
                        R"({"key":"member/number","incarnation":9223372036854775807,"version":0,)"
@@ -87,3 +92,22 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
 }
+
+// Guards against requests to a server of another service: another writer has left an entry with
+// missing fields under its key, which names the service of these requests.
+Test(odd_entries, an_incomplete_entry_names_no_server) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  std::string entry = fixture.EntryOf("a1");
+  const std::string service = "\"shard-a\"";
+  entry.replace(entry.find(service), service.size(), "\"single\"");
+  entry = entry.substr(0, entry.find(",\"warmupLeftMs\"")) + "}";
+  fixture.WriteToStore("servers/a1", entry);
+  // Longer than a change of the store takes to arrive.
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const int before = fixture.ServedCount("a1");
+  for (int i = 0; i < 30; ++i) {
+    cr_assert(fixture.SendRequest("POST", "/p/1", "id-" + std::to_string(i), "body").status == 200);
+  }
+  cr_assert(fixture.ServedCount("a1") == before);
+}
--- a/tests/platform/test_odd_entries.cc
+++ b/tests/platform/test_odd_entries.cc
@@ -2,7 +2,10 @@
 
 #include <chrono>
 #include <limits>
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "config/route_table.h"
 #include "control/gossip_entry.h"
@@ -29,10 +32,20 @@
   return std::string(depth, '[') + std::string(depth, ']');
 }
 
-/** The entry of a server, with these members added or replaced. */
-std::string ServerEntry(const std::string& members) {
-  return R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":2,"state":"ready")" +
-         members + "}";
+/** A complete entry of a server whose member `name` has this value. */
+std::string ServerEntry(const std::string& name, const std::string& value) {
+  std::map<std::string, std::string> members = {
+      {"service", R"("s")"}, {"address", R"("10.0.0.9:8080")"},
+      {"zone", R"("z")"},    {"version", R"("v1")"},
+      {"slots", "2"},        {"state", R"("ready")"},
+      {"warmupLeftMs", "0"}, {"seq", "1"},
+      {"born", "7"}};
+  members[name] = value;
+  std::string entry = "{";
+  for (const auto& [member, text] : members) {
+    entry += (entry.size() > 1 ? ",\"" : "\"") + member + "\":" + text;
+  }
+  return entry + "}";
 }
 
 }  // namespace
@@ -54,44 +67,59 @@
 // whose sum with the present time overflows.
 Test(odd_entries, numbers_that_are_too_large_are_bounded) {
   for (const char* text : {"1e300", "-1e300", "9223372036854775807", "1e16"}) {
-    const auto decoded =
-        platform::DecodeReplica("i", ServerEntry(",\"warmupLeftMs\":" + std::string(text)));
+    const auto decoded = platform::DecodeReplica("i", ServerEntry("warmupLeftMs", text));
     cr_assert(decoded && decoded->warm_up_left >= duration::zero() &&
                   decoded->warm_up_left <= kLongestWarmUp,
               "%s", text);
   }
-  const auto slots = platform::DecodeReplica(
-      "i",
-      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4294967297,"state":"ready"})");
+  const auto slots = platform::DecodeReplica("i", ServerEntry("slots", "4294967297"));
   cr_assert(slots && slots->slots > 1);
   for (const char* text : {"1e400", "-1e400"}) {
-    cr_assert(!platform::DecodeReplica("i", ServerEntry(",\"seq\":" + std::string(text))));
+    cr_assert(!platform::DecodeReplica("i", ServerEntry("seq", text)));
   }
 }
 
 // Guards against a server that is used although its entry has a field of another type, and so is
 // not one that the server wrote.
 Test(odd_entries, fields_of_another_type_are_refused) {
-  for (const char* members : {R"(,"born":"7")", R"(,"born":1.5)", R"(,"born":1e300)",
-                              R"(,"warmupLeftMs":"1")", R"(,"warmupLeftMs":[1])", R"(,"seq":{})"}) {
-    cr_assert(!platform::DecodeReplica("i", ServerEntry(members)), "%s", members);
+  cr_assert(platform::DecodeReplica("i", ServerEntry("seq", "1")));
+  const std::vector<std::pair<const char*, const char*>> members = {
+      {"born", R"("7")"},      {"born", "1.5"},     {"born", "1e300"},   {"warmupLeftMs", R"("1")"},
+      {"warmupLeftMs", "[1]"}, {"seq", "{}"},       {"version", "null"}, {"version", "[]"},
+      {"service", "7"},        {"slots", R"("2")"}, {"state", "true"},   {"state", R"("unknown")"},
+      {"zone", "{}"},          {"address", "80"}};
+  for (const auto& [name, value] : members) {
+    cr_assert(!platform::DecodeReplica("i", ServerEntry(name, value)), "%s %s", name, value);
   }
   for (const char* address : {"10.0.0.9:99999", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:65536",
                               "10.0.0.9:", "10.0.0.9", "10.0.0.999:80", ":80", "[::1]:80"}) {
-    cr_assert(
-        !platform::DecodeReplica("i", "{\"service\":\"s\",\"address\":\"" + std::string(address) +
-                                          R"(","zone":"z","slots":2,"state":"ready"})"),
-        "%s", address);
+    const std::string value = "\"" + std::string(address) + "\"";
+    cr_assert(!platform::DecodeReplica("i", ServerEntry("address", value)), "%s", address);
+  }
+}
+
+// Guards against requests to a server of another service, or to one whose state is unknown: an
+// entry of another writer lacks a field that each server writes.
+Test(odd_entries, an_entry_that_lacks_a_field_is_refused) {
+  const std::string complete = ServerEntry("seq", "1");
+  cr_assert(platform::DecodeReplica("i", complete));
+  for (const char* name :
+       {"service", "address", "zone", "version", "slots", "state", "warmupLeftMs", "seq", "born"}) {
+    std::string entry = complete;
+    const std::string quoted = "\"" + std::string(name) + "\"";
+    entry.replace(entry.find(quoted), quoted.size(), "\"other\"");
+    const auto decoded = platform::DecodeReplica("i", entry);
+    cr_assert(!decoded, "%s", name);
+    cr_assert(decoded.error().message.find(quoted) != std::string::npos, "%s",
+              decoded.error().message.c_str());
   }
 }
 
 // Guards against log lines and memory without bound: a name of nearly a megabyte.
 Test(odd_entries, long_names_are_refused) {
   const std::string name(900'000, 'x');
-  cr_assert(!platform::DecodeReplica("i", "{\"service\":\"" + name +
-                                              R"(","address":"10.0.0.9:8080","zone":"z","slots":2,)"
-                                              R"("state":"ready"})"));
-  cr_assert(!platform::DecodeReplica("i", ServerEntry(",\"version\":\"" + name + "\"")));
+  cr_assert(!platform::DecodeReplica("i", ServerEntry("service", "\"" + name + "\"")));
+  cr_assert(!platform::DecodeReplica("i", ServerEntry("version", "\"" + name + "\"")));
 }
 
 // Guards against times, counts and sizes of a configuration that overflow when they are converted
--- a/tests/platform/test_replica_decoder.cc
+++ b/tests/platform/test_replica_decoder.cc
@@ -19,12 +19,15 @@
 
 // Guards against requests to an address from an invalid entry, such as one of another writer.
 Test(replica_decoder, invalid_entries_are_refused) {
-  for (const char* text :
-       {"", "\xff\xfe", "[]", R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":2})",
-        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":2,"state":"unknown"})",
-        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":"2","state":"ready"})",
-        R"({"service":7,"address":"10.0.0.9:8080","zone":"z","slots":2,"state":"ready"})",
-        R"({"service":"s","address":"host:8080","zone":"z","slots":2,"state":"ready"})"}) {
+  for (
+      const char* text :
+      {"", "\xff\xfe", "[]", R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":2})",
+       R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":2,"state":"unknown"})",
+       R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":"2","state":"ready"})",
+       R"({"service":7,"address":"10.0.0.9:8080","zone":"z","slots":2,"state":"ready"})",
+       R"({"service":"s","address":"host:8080","zone":"z","slots":2,"state":"ready"})",
+       R"({"service":"s","address":"host:8080","zone":"z","version":"v1","slots":2,"state":"ready",)"
+       R"("warmupLeftMs":0,"seq":4,"born":77})"}) {
     cr_assert(!platform::DecodeReplica("i", text), "%s", text);
   }
 }
