Query: servers of a shard are counted by what is sent to them

The same list counted servers that could not be connected to, so that a query with two unreachable servers did not ask the third.

Change: asked_servers counts, per shard and server, the attempts that were sent or are about to be; moves and failures without a send take back one attempt. It alone decides whether another server may be asked, for first attempts, retries, hedges and moves.

Ruled out: counting moves instead of servers: a request may be repeated at the same server any number of times up to four sends.

Before the change query_plan/a_moved_repetition_goes_to_no_further_server (a third server is asked) and attempts_that_were_not_sent_are_not_counted (2,000 random orders, fails in order 30) fail. test_query and test_node build and test_query passes.

--- a/src/liblimpetlever/query/asked_servers.h
+++ b/src/liblimpetlever/query/asked_servers.h
@@ -19,6 +19,8 @@
   /** Number of servers to which at least one attempt was sent, or is about to be. */
   int count() const;
   bool Contains(const replica_record* server) const;
+  /** Whether the server was added, also if nothing was sent to it. */
+  bool IsKnown(const replica_record* server) const { return Position(server) < known_.size(); }
   /** Each server that was added, also if nothing was sent to it. */
   const std::vector<const replica_record*>& known() const { return known_; }
 
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -213,12 +213,16 @@
   }
 }
 
+bool query_plan::MayAskAnother(const shard_state& shard) const {
+  return shard.asked.count() < route_.max_attempts;
+}
+
 std::shared_ptr<replica_record> query_plan::ChooseUntried(const shard_state& shard, instant now) {
-  if (static_cast<int>(shard.tried.size()) >= route_.max_attempts) {
+  if (!MayAskAnother(shard)) {
     return nullptr;
   }
-  return ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_, state_.random,
-                       now);
+  return ChooseReplica(state_.replicas, shard.service, shard.asked.known(), choice_options_,
+                       state_.random, now);
 }
 
 std::shared_ptr<replica_record> query_plan::ChooseAgain(const shard_state& shard,
@@ -226,13 +230,13 @@
                                                         instant now) {
   std::vector<const replica_record*> excluded;
   for (const auto& record : state_.replicas.FindByService(shard.service)) {
-    const bool was_tried =
-        std::find(shard.tried.begin(), shard.tried.end(), record.get()) != shard.tried.end();
+    const bool may_ask = shard.asked.Contains(record.get()) ||
+                         (shard.asked.IsKnown(record.get()) && MayAskAnother(shard));
     const bool is_open = std::any_of(
         attempts_.begin(), attempts_.end(),
         [&record](const attempt_state& item) { return item.is_open && item.target == record; });
     const bool is_left_out = only_serving && record->answered_at <= record->refused_at;
-    if (!was_tried || is_open || is_left_out) {
+    if (!may_ask || is_open || is_left_out) {
       excluded.push_back(record.get());
     }
   }
@@ -261,9 +265,7 @@
                         instant now,
                         action_list& actions) {
   shard_state& shard = shards_[shard_index];
-  if (std::find(shard.tried.begin(), shard.tried.end(), target.get()) == shard.tried.end()) {
-    shard.tried.push_back(target.get());
-  }
+  shard.asked.Add(target.get());
   ++shard.sends;
   ++shard.open_attempts;
   shard.hedge_at = now + choice_options_.stall_limit;
@@ -347,12 +349,15 @@
     return;
   }
   CloseAttempt(item);
+  const bool may_have_run = MayHaveRun(failure);
+  if (!may_have_run) {
+    shards_[item.shard].asked.Withdraw(item.target.get());
+  }
   if (failure == attempt_failure::excluded) {
     item.target->load.OnWithdrawn(item.sent);
   } else {
     item.target->load.OnFailed(item.sent, now);
   }
-  const bool may_have_run = MayHaveRun(failure);
   may_have_run_ = may_have_run_ || may_have_run;
   if (is_done_ || shards_[item.shard].is_answered) {
     return;
@@ -371,14 +376,14 @@
   if (!item.is_open || is_done_ || shard.is_answered) {
     return false;
   }
-  // Nothing was sent to this server, so that it does not count as one that was asked.
-  std::erase(shard.tried, item.target.get());
+  // Nothing of this attempt was sent. An earlier one at the same server may have been.
+  shard.asked.Withdraw(item.target.get());
   auto other = ChooseUntried(shard, now);
   if (!other) {
     other = ChooseAgain(shard, true, now);
   }
   if (!other) {
-    shard.tried.push_back(item.target.get());
+    shard.asked.Add(item.target.get());
     return false;
   }
   CloseAttempt(item);
@@ -420,11 +425,10 @@
 void query_plan::Hedge(std::size_t shard_index, instant now, action_list& actions) {
   shard_state& shard = shards_[shard_index];
   shard.is_hedged = true;
-  if (!may_retry_ || static_cast<int>(shard.tried.size()) >= route_.max_attempts) {
+  if (!may_retry_) {
     return;
   }
-  const auto target = ChooseReplica(state_.replicas, shard.service, shard.tried, choice_options_,
-                                    state_.random, now);
+  const auto target = ChooseUntried(shard, now);
   // Don't spend the retry budget on a server that is not expected to answer in time either, nor
   // the requests of a server in need on a second answer.
   if (!target || target->limit.IsNamed() ||
--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -11,6 +11,7 @@
 
 #include "base/errc.h"
 #include "base/time_types.h"
+#include "query/asked_servers.h"
 #include "query/attempt_failure.h"
 #include "query/query_action.h"
 #include "query/query_outcome.h"
@@ -108,7 +109,7 @@
   };
   struct shard_state {
     std::string service;
-    std::vector<const replica_record*> tried;
+    asked_servers asked;
     int open_attempts = 0;
     int sends = 0;
     bool is_answered = false;
@@ -137,6 +138,8 @@
               send_reason reason,
               instant now,
               action_list& actions);
+  /** Whether the query may be sent to a server of the shard that it was not sent to before. */
+  bool MayAskAnother(const shard_state& shard) const;
   /** A server that this query has not asked yet; nullptr if there is none or no more may be asked.
    */
   std::shared_ptr<replica_record> ChooseUntried(const shard_state& shard, instant now);
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -211,6 +211,93 @@
   }
 }
 
+// Guards against a request that runs on a third server although two are allowed: it was to be
+// repeated at one of two servers that had run it, and was moved before it was sent again.
+Test(query_plan, a_moved_repetition_goes_to_no_further_server) {
+  query_fixture fixture(1);
+  fixture.AddServer("c0", "shard0", "dc-b");
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  std::set<std::string> ran;
+  for (std::uint32_t attempt = 0; attempt < 2; ++attempt) {
+    ran.insert(query_fixture::Sends(actions).back().target->registered.id);
+    plan->OnReply(attempt, {.status = 500}, fixture.now, actions);
+  }
+  cr_assert(ran.size() == 2);
+  const auto repeated = query_fixture::Sends(actions).back().target;
+  cr_assert(ran.contains(repeated->registered.id));
+  replica entry = repeated->registered;
+  entry.is_draining = true;
+  fixture.registry.Put(entry, fixture.now);
+  actions.clear();
+  plan->Move(2, fixture.now, actions);
+  for (const query_action& send : query_fixture::Sends(actions)) {
+    cr_assert(ran.contains(send.target->registered.id), "%s", send.target->registered.id.c_str());
+  }
+}
+
+// Guards against a request that runs on more servers than allowed, for random orders of answers,
+// failures, hedges, moves and connections that fail, and against an unreachable server that takes
+// the place of one that could have been asked.
+Test(query_plan, attempts_that_were_not_sent_are_not_counted) {
+  random_source random(5);
+  int moves = 0;
+  int third_servers = 0;
+  for (int round = 0; round < 2000; ++round) {
+    query_fixture fixture(1);
+    fixture.AddServer("c0", "shard0", "dc-b");
+    fixture.AddServer("d0", "shard0", "dc-b");
+    const auto plan = fixture.Plan(fixture.search);
+    std::set<std::uint32_t> sent;
+    plan->SetSentCheck([&sent](std::uint32_t attempt) { return sent.contains(attempt); });
+    std::set<std::string> ran;
+    std::set<std::string> unreachable;
+    actions_type actions;
+    plan->Start(fixture.now, actions);
+    std::vector<query_action> open = fixture.Sends(actions);
+    for (int step = 0; step < 30 && !plan->IsDone() && !open.empty(); ++step) {
+      actions.clear();
+      const std::size_t at = random.Below(open.size());
+      const query_action action = open[at];
+      const std::string& id = action.target->registered.id;
+      bool is_over = true;
+      if (!sent.contains(action.attempt)) {
+        const auto choice = random.Below(3);
+        replica entry = action.target->registered;
+        entry.is_draining = true;
+        if (choice == 0) {
+          sent.insert(action.attempt);
+          ran.insert(id);
+          is_over = false;
+        } else if (choice == 1) {
+          unreachable.insert(id);
+          plan->OnFailure(action.attempt, attempt_failure::not_connected, fixture.now, actions);
+        } else {
+          fixture.registry.Put(entry, fixture.now);
+          is_over = plan->Move(action.attempt, fixture.now, actions);
+          moves += is_over ? 1 : 0;
+        }
+      } else if (random.Below(3) == 0) {
+        fixture.Advance(20);
+        plan->OnTimer(fixture.now, actions);
+        is_over = false;
+      } else {
+        plan->OnReply(action.attempt, {.status = 500}, fixture.now, actions);
+      }
+      if (is_over) {
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(at));
+      }
+      for (const query_action& more : fixture.Sends(actions)) {
+        open.push_back(more);
+      }
+    }
+    cr_assert(ran.size() <= 2, "round %d", round);
+    third_servers += !unreachable.empty() && ran.size() == 2 ? 1 : 0;
+  }
+  cr_assert(moves > 100 && third_servers > 100, "%d %d", moves, third_servers);
+}
+
 // Guards against waiting for a stalled server while another one is free.
 Test(query_plan, a_straggler_is_hedged_at_another_server) {
   query_fixture fixture;
