Replicas: an entry of an earlier process undoes nothing

Cause: replica_registry::Put took each entry with another start time for a restart, whether the process had started earlier or later. The crash reporter was told of a restart as well.

A server that restarts after its clock was put back writes such entries too: one that no later process has replaced after 5 s (heartbeats come every 1.2 s) is used.

Ruled out: comparing seq within one process: the counts of a server start anew, and an entry with the same start that says draining must count in any case.

Measured: without the check server_notices/an_entry_of_an_earlier_process_does_not_undo_that_a_server_leaves fails (2 requests, 1 allowed), with it test_replicas and the server_notices tests pass.

--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -14,6 +14,8 @@
 constexpr duration kRemovedRetention = std::chrono::minutes(10);
 // Bounds the memory, about 500 bytes a record, if servers come and go without end.
 constexpr std::size_t kMaxRemoved = 4096;
+// A later process that is alive writes its entry again within a heartbeat of 1.2 s.
+constexpr duration kHoldBackTime = std::chrono::seconds(5);
 
 bool IsSameProcess(const replica& a, const replica& b) {
   return a.started_ms == b.started_ms && a.address == b.address && a.service == b.service;
@@ -66,7 +68,34 @@
   UpdateExclusion(record, now);
 }
 
+bool replica_registry::HoldBack(const replica& registered, instant now) {
+  held_back_.erase(registered.id);
+  const auto known = by_id_.find(registered.id);
+  const auto removed = removed_.find(registered.id);
+  const replica_record* latest = known != by_id_.end()       ? known->second.get()
+                                 : removed != removed_.end() ? removed->second.record.get()
+                                                             : nullptr;
+  if (latest == nullptr || registered.started_ms >= latest->registered.started_ms) {
+    return false;
+  }
+  held_back_[registered.id] = {.registered = registered, .at = now};
+  return true;
+}
+
+std::vector<replica> replica_registry::TakeLastingEntries(instant now) {
+  std::vector<replica> lasting;
+  std::erase_if(held_back_, [&](const auto& item) {
+    const bool is_lasting = now - item.second.at >= kHoldBackTime;
+    if (is_lasting) {
+      lasting.push_back(item.second.registered);
+    }
+    return is_lasting;
+  });
+  return lasting;
+}
+
 bool replica_registry::Remove(const std::string& id, instant now) {
+  held_back_.erase(id);
   const auto known = by_id_.find(id);
   if (known == by_id_.end()) {
     return false;
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -11,10 +11,10 @@
 
 #include "base/time_types.h"
 #include "limits/limit_sharers.h"
+#include "replicas/replica.h"
 
 namespace limpetlever {
 
-struct replica;
 struct replica_record;
 
 /**
@@ -39,6 +39,17 @@
    * known.
    */
   bool Remove(const std::string& id, instant now);
+  /**
+   * Whether the entry is of an earlier process than the one that is or was registered under its id:
+   * written late, or an older copy. It must not be Put, since it would undo that the server leaves,
+   * drains or was removed. It is held back, for TakeLastingEntries.
+   */
+  bool HoldBack(const replica& registered, instant now);
+  /**
+   * Removes and returns the entries that were held back and that no later process has replaced for
+   * some heartbeats: their processes are the present ones, started after a step of the clock.
+   */
+  std::vector<replica> TakeLastingEntries(instant now);
   /** Sets the data centres whose servers get no attempts. Returns whether the set has changed. */
   bool SetTakenOut(std::set<std::string> data_centres, instant now);
 
@@ -71,6 +82,12 @@
   };
   /** By id. */
   std::unordered_map<std::string, removed_record> removed_;
+  struct held_back_entry {
+    replica registered;
+    instant at;
+  };
+  /** By id. */
+  std::unordered_map<std::string, held_back_entry> held_back_;
   std::set<std::string> taken_out_;
   limit_sharers sharers_;
 };
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -49,6 +49,8 @@
 constexpr duration kMaxSuspension = std::chrono::milliseconds(500);
 // Detects changes of the settings file for which no SIGHUP was sent.
 constexpr duration kSettingsCheckPeriod = std::chrono::seconds(2);
+// Entries of servers that were held back are looked at at this period.
+constexpr duration kHeldBackCheckPeriod = std::chrono::seconds(1);
 // A partitioned host keeps to its share of the retry budget for this long: six windows of the
 // budget.
 constexpr duration kFleetSizeWindow = std::chrono::seconds(60);
@@ -189,6 +191,12 @@
                                 [this](instant) { UpdateSource("members"); });
   loop_.timers().SubscribeEvery(loop_.Now() + kSettingsCheckPeriod, kSettingsCheckPeriod,
                                 [this](instant) { CheckSettingsFile(); });
+  loop_.timers().SubscribeEvery(loop_.Now() + kHeldBackCheckPeriod, kHeldBackCheckPeriod,
+                                [this](instant now) {
+                                  for (const replica& lasting : replicas_.TakeLastingEntries(now)) {
+                                    ApplyReplica(lasting);
+                                  }
+                                });
 }
 
 node_server::~node_server() = default;
@@ -474,6 +482,18 @@
 }
 
 void node_server::OnReplicaChanged(const replica& registered) {
+  if (replicas_.HoldBack(registered, loop_.Now())) {
+    metrics_.OnEntryRefused();
+    log_.Record(event_number::replica_entry_refused,
+                {{"replica", registered.id},
+                 {"message", "the entry is of an earlier process, started at " +
+                                 std::to_string(registered.started_ms)}});
+    return;
+  }
+  ApplyReplica(registered);
+}
+
+void node_server::ApplyReplica(const replica& registered) {
   const auto known = replicas_.Find(registered.id);
   if (known && known->registered.started_ms != registered.started_ms) {
     query_.crashes().OnReplicaDown(registered.id);
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -64,6 +64,8 @@
   /** Reads the settings file again; `cause` goes into the log. */
   void Reload(const char* cause);
   void CheckSettingsFile();
+  /** Uses what a backend server says of itself in its entry. */
+  void ApplyReplica(const replica& registered);
   /** Announces a new store revision to other hosts, or catches up if they have a newer one. */
   void CheckRevision();
   void ApplySettings(const node_settings& settings);
--- a/tests/node/test_server_notices.cc
+++ b/tests/node/test_server_notices.cc
@@ -23,6 +23,25 @@
   cr_assert(fixture.ServedCount("s1") == 1, "%d", fixture.ServedCount("s1"));
 }
 
+// Guards against requests to a server that leaves, after an entry of the process that had its id
+// before was written late.
+Test(server_notices, an_entry_of_an_earlier_process_does_not_undo_that_a_server_leaves) {
+  host_fixture fixture({{"s1", {.is_leaving = true}}});
+  fixture.WaitUntilReady();
+  for (int i = 0; fixture.ServedCount("s1") == 0; ++i) {
+    fixture.SendRequest("GET", "/i/1", "before-" + std::to_string(i));
+  }
+  std::string entry = fixture.EntryOf("s1");
+  entry.replace(entry.find("\"born\":1"), 8, "\"born\":0");
+  fixture.WriteToStore("servers/s1", entry);
+  // Longer than a change of the store takes to arrive.
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  for (int i = 0; i < 30; ++i) {
+    cr_assert(fixture.SendRequest("GET", "/i/1", "after-" + std::to_string(i)).status == 200);
+  }
+  cr_assert(fixture.ServedCount("s1") == 1, "%d", fixture.ServedCount("s1"));
+}
+
 // Guards against requests to a server within the pause that it has asked for, and against a server
 // that gets none after it.
 Test(server_notices, a_pause_is_kept_and_ends) {
--- a/tests/replicas/test_replica_registry.cc
+++ b/tests/replicas/test_replica_registry.cc
@@ -61,3 +61,38 @@
   cr_assert(registry.SetTakenOut({}, now));
   cr_assert(IsUsable(*registry.Find("i1")) && IsUsable(*registry.Find("i2")));
 }
+
+// Guards against an entry of an earlier process, written late or an older copy, that undoes that a
+// server drains, leaves or was removed.
+Test(replica_registry, an_entry_of_an_earlier_process_is_held_back) {
+  replica_registry registry("dc-a");
+  replica present = Server("i1");
+  present.started_ms = 5;
+  cr_assert(!registry.HoldBack(present, now));
+  registry.Put(present, now);
+  cr_assert(registry.HoldBack(Server("i1"), now));
+  cr_assert(!registry.HoldBack(present, now), "another entry of the present process");
+  registry.Remove("i1", now);
+  cr_assert(registry.HoldBack(Server("i1"), now), "the removed process is the later one");
+  cr_assert(registry.TakeLastingEntries(now + std::chrono::seconds(4)).empty());
+  cr_assert(registry.Find("i1") == nullptr);
+  replica next = present;
+  next.started_ms = 6;
+  cr_assert(!registry.HoldBack(next, now));
+  cr_assert(registry.TakeLastingEntries(now + std::chrono::minutes(1)).empty());
+}
+
+// Guards against a server that is never used again, since it restarted after its clock had been put
+// back.
+Test(replica_registry, an_entry_that_no_later_process_replaces_is_used) {
+  replica_registry registry("dc-a");
+  replica before = Server("i1");
+  before.started_ms = 5;
+  registry.Put(before, now);
+  cr_assert(registry.HoldBack(Server("i1"), now));
+  const auto lasting = registry.TakeLastingEntries(now + std::chrono::seconds(6));
+  cr_assert(lasting.size() == 1 && lasting[0] == Server("i1"));
+  registry.Put(lasting[0], now);
+  cr_assert(registry.Find("i1")->registered.started_ms == 1);
+  cr_assert(registry.TakeLastingEntries(now + std::chrono::minutes(1)).empty());
+}
