--- a/src/liblimpetlever/query/query_plan.h
+++ b/src/liblimpetlever/query/query_plan.h
@@ -140,8 +140,7 @@
               action_list& actions);
   /** Whether the query may be sent to a server of the shard that it was not sent to before. */
   bool MayAskAnother(const shard_state& shard) const;
-  /** A server that this query has not asked yet; nullptr if there is none or no more may be asked.
-   */
+  /** A server that the query has not asked yet; nullptr if there is none or no more are allowed. */
   std::shared_ptr<replica_record> ChooseUntried(const shard_state& shard, instant now);
   /**
    * A server that has already refused or failed this query. If `only_serving`, it has also answered
--- a/src/limpetlever/net/event_loop.cc
+++ b/src/limpetlever/net/event_loop.cc
@@ -111,8 +111,7 @@
 
 void event_loop::HandleReadyEvents() {
   for (int pass = 0; pass < kLatePasses; ++pass) {
-    // With EVLOOP_NONBLOCK alone the call goes on while any socket is ready: under load, without
-    // end.
+    // With EVLOOP_NONBLOCK alone the call does not return while any socket is ready.
     event_base_loop(base_, EVLOOP_NONBLOCK | EVLOOP_ONCE);
   }
 }
