Tests: the test of a busy socket counts calls from the delay on

Cause, in the test: its socket was ready from the start, and on a fast machine 10,000 calls fit into the 20 ms before the first timer is due. The socket is ready only from the delay on now, where the loop makes a few calls; the bound is the same.

--- a/tests/net/test_event_loop.cc
+++ b/tests/net/test_event_loop.cc
@@ -117,11 +117,14 @@
     loop.Stop();
   });
   io_watch watch(loop, ends[0], handler);
-  watch.WantRead(true);
   cr_assert(write(ends[1], "x", 1) == 1);
   bool has_run = false;
-  // The first timer delays the loop, so that the second one is late.
-  loop.timers().Subscribe(loop.Now() + milliseconds(20), [&](instant) { offset += seconds(1); });
+  // The first timer delays the loop, so that the second one is late. The socket is ready from then
+  // on: the number of calls does not depend on the time until the first timer.
+  loop.timers().Subscribe(loop.Now() + milliseconds(20), [&](instant) {
+    watch.WantRead(true);
+    offset += seconds(1);
+  });
   loop.timers().Subscribe(loop.Now() + milliseconds(40), [&](instant) {
     has_run = true;
     loop.Stop();
