Review: case 10 is now one odd entry that hides that a server drains

The new case: an entry with a born that is too large makes the host hold back the good entries of the server for 5 s after each change, so that draining reaches the server's choice after 5 s instead of 3 s.

--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -10,6 +10,7 @@
 int RunOddKey(stage& on);
 int RunColdReplica(stage& on);
 int RunLateCheckIn(stage& on);
+int RunOddNumber(stage& on);
 int RunPoison(stage& on);
 
 }  // namespace review
