Review: the script of case 6 follows the renewals of the hosts

At fixed times a slow start of the hosts could move a renewal into the outage, which a host notices. The script now waits for a round of renewals, as the store sees them, and puts the outage between two rounds.

--- a/review/standin-2/short_outage.cc
+++ b/review/standin-2/short_outage.cc
@@ -1,7 +1,9 @@
 // The store is down for less than a second, silently, while replicas start; a config follows.
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,9 +16,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration kOutageStart = milliseconds(12'150);
-constexpr duration kOutageEnd = milliseconds(12'950);
-constexpr duration kConfigSent = milliseconds(13'500);
+// All times count from the moment at which each host has renewed its lease in a round of renewals,
+// which come every 2 s. The outage lies between two rounds.
+constexpr duration kNewServiceStart = milliseconds(300);
+constexpr duration kOutageStart = milliseconds(2300);
+constexpr duration kOutageEnd = milliseconds(3100);
+constexpr duration kConfigSent = milliseconds(3500);
+constexpr duration kDrain = milliseconds(7000);
+constexpr duration kExit = milliseconds(17'000);
+constexpr duration kEnd = milliseconds(39'000);
 constexpr duration kConfigApply = milliseconds(3000);  // configApplyMs
 constexpr duration kStability = milliseconds(4000);    // stabilityMs
 
@@ -50,47 +58,68 @@
     hosts.push_back(&on.StartHost(name, "zone-a"));
   }
   std::size_t turn = 0;
-  on.Every(milliseconds(5000), milliseconds(50), milliseconds(44'000), [&] {
+  on.Every(milliseconds(5000), milliseconds(50), milliseconds(45'000), [&] {
     on.Call(hosts[++turn % hosts.size()]->caller_address, "GET", "/look/member", "", 4000);
   });
-  on.At(milliseconds(10'200), [&] {
-    on.Note("replicas of the new service start, cold for 3 s");
-    replicas[2]->Start(true, milliseconds(3000));
-    replicas[3]->Start(true, milliseconds(3000));
-  });
-  if (HasTrouble()) {
-    on.At(kOutageStart, [&] {
-      on.Note("disruption: the store is down for 0.8 s, silently");
-      on.SetStoreDown(true);
+  // When the round of renewals ends, as the store sees it.
+  std::optional<instant> round;
+  const auto at = [&](duration after_round, std::function<void()> call) {
+    on.loop().timers().Subscribe(*round + after_round,
+                                 [call = std::move(call)](instant) { call(); });
+  };
+  const auto play = [&] {
+    at(kNewServiceStart, [&] {
+      on.Note("replicas of the new service start, cold for 3 s");
+      replicas[2]->Start(true, milliseconds(3000));
+      replicas[3]->Start(true, milliseconds(3000));
     });
-    on.At(kOutageEnd, [&] {
-      on.Note("the store is back");
-      on.SetStoreDown(false);
+    if (HasTrouble()) {
+      at(kOutageStart, [&] {
+        on.Note("disruption: the store is down for 0.8 s, silently");
+        on.SetStoreDown(true);
+      });
+      at(kOutageEnd, [&] {
+        on.Note("the store is back");
+        on.SetStoreDown(false);
+      });
+    }
+    at(kConfigSent, [&] {
+      on.store().Write("op/config", Config(6, "new"));
+      on.Note("config 6 moves the route from old to new, confirmed by the store");
     });
-  }
-  on.At(kConfigSent, [&] {
-    on.store().Write("op/config", Config(6, "new"));
-    on.Note("config 6 moves the route from old to new, confirmed by the store");
-  });
-  on.At(milliseconds(17'000), [&] {
-    on.Note("the old replicas drain");
-    old_a.Drain();
-    old_b.Drain();
-  });
-  on.At(milliseconds(27'000), [&] {
-    on.Note("the old replicas exit, 10 s later");
-    for (replica_standin* old : {&old_a, &old_b}) {
-      old->RemoveEntry();
-      old->Crash();
+    at(kDrain, [&] {
+      on.Note("the old replicas drain");
+      old_a.Drain();
+      old_b.Drain();
+    });
+    at(kExit, [&] {
+      on.Note("the old replicas exit, 10 s later");
+      for (replica_standin* old : {&old_a, &old_b}) {
+        old->RemoveEntry();
+        old->Crash();
+      }
+    });
+    at(kEnd, [&] { on.loop().Stop(); });
+  };
+  int renewals = 0;
+  on.Every(milliseconds(7000), milliseconds(5), milliseconds(12'000), [&] {
+    const int count = on.store().CallCount("/kv-keep");
+    renewals = renewals == 0 ? count : renewals;
+    if (!round && count >= renewals + static_cast<int>(hosts.size())) {
+      round = on.loop().Now();
+      on.Note("all hosts have renewed their leases");
+      play();
     }
   });
-  on.At(milliseconds(49'000), [&] { on.loop().Stop(); });
+  on.At(milliseconds(60'000), [&] { on.loop().Stop(); });
   on.loop().Run();
+  if (!round) {
+    return kCouldNotRun;
+  }
 
   // Calm machines are in touch once the store has been stable for stabilityMs.
-  const auto from = std::max<std::int64_t>(
-      std::chrono::duration_cast<milliseconds>(kConfigSent + kConfigApply).count(),
-      HasTrouble() ? std::chrono::duration_cast<milliseconds>(kOutageEnd + kStability).count() : 0);
+  const std::int64_t from = std::max(on.Ms(*round + kConfigSent + kConfigApply),
+                                     HasTrouble() ? on.Ms(*round + kOutageEnd + kStability) : 0);
   std::map<std::string, const call_record*> sent;
   int served = 0;
   int unserved_late = 0;
