Review: cases 8 and 10 with more requests

With little load the host may prefer the other servers for most of the time that counts, so that few requests showed the fault. 143 instead of 100 requests a second.

--- a/review/standin-2/late_check_in.cc
+++ b/review/standin-2/late_check_in.cc
@@ -30,7 +30,7 @@
   replica_standin& leaving = *replicas.front();
   auto& host = on.StartHost("host-a", "zone-a");
   int number = 0;
-  on.Every(milliseconds(4000), milliseconds(10), milliseconds(24'000), [&] {
+  on.Every(milliseconds(4000), milliseconds(7), milliseconds(24'000), [&] {
     on.Call(host.caller_address, "POST", "/look/member", "record=" + std::to_string(++number),
             4000);
   });
