--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -204,6 +204,11 @@
     const std::lock_guard lock(mutex_);
     return runs_[id];
   }
+  /** The body with which a server has last run the request with this id. */
+  std::string LastBody(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return bodies_[id];
+  }
   /** The time limits that the servers were given for the requests that they have run. */
   std::vector<int> TimeLimits() {
     const std::lock_guard lock(mutex_);
@@ -386,7 +391,9 @@
 
   void RecordRun(const std::shared_ptr<server_connection>& caller) {
     const std::lock_guard lock(mutex_);
-    ++runs_[std::string(caller->request().Find("Attempt-Id"))];
+    const std::string id(caller->request().Find("Attempt-Id"));
+    ++runs_[id];
+    bodies_[id] = caller->request().body;
     time_limits_ms_.push_back(std::stoi(std::string(caller->request().Find("Deadline-Ms"))));
   }
 
@@ -485,6 +492,7 @@
   /** Entries of the servers in the store, by id. */
   std::map<std::string, std::string> entries_;
   std::map<std::string, int> runs_;
+  std::map<std::string, std::string> bodies_;
   std::vector<int> time_limits_ms_;
   std::map<std::string, int> served_;
   std::map<std::string, int> refused_;
--- a/tests/node/test_odd_entries.cc
+++ b/tests/node/test_odd_entries.cc
@@ -111,3 +111,21 @@
   }
   cr_assert(fixture.ServedCount("a1") == before);
 }
+
+// Guards against requests that run with an empty body: another writer has left a copy of the entry
+// of a server under its key with a line end after it, which ended the header of the requests.
+Test(odd_entries, a_key_with_a_line_end_changes_no_request) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  fixture.WriteToStore("servers/s1\r\n", fixture.EntryOf("s1"));
+  // Longer than a change of the store takes to arrive.
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "id-" + std::to_string(i);
+    const std::string body = "body " + std::to_string(i);
+    cr_assert(fixture.SendRequest("POST", "/p/1", id, body).status == 200);
+    cr_assert(fixture.RunCount(id) == 1);
+    cr_assert(fixture.LastBody(id) == body, "%s", fixture.LastBody(id).c_str());
+  }
+  cr_assert(fixture.Metric("limpetlever_store_entries_refused_total") == 1);
+}
--- a/tests/platform/test_odd_entries.cc
+++ b/tests/platform/test_odd_entries.cc
@@ -115,6 +115,20 @@
   }
 }
 
+// Guards against requests that are cut in two: the id is sent in a header field, which a line end
+// in the key of the entry would end.
+Test(odd_entries, an_id_that_a_header_field_cannot_hold_is_refused) {
+  const std::string entry = ServerEntry("seq", "1");
+  for (const char* id : {"i-7f3a91c2", "I_2.b~", "1"}) {
+    cr_assert(platform::DecodeReplica(id, entry), "%s", id);
+  }
+  for (const std::string id : {"i-1\r\n", "i-1\n", "i-1\r", "\r\nX: y", "i-1\r\nX: y", " i-1",
+                               "i-1 ", "i 1", "i-1\t", "i-1\x7f", "i-1\x01", "i-1\xc3\xa9", ""}) {
+    cr_assert(!platform::DecodeReplica(id, entry), "%s", id.c_str());
+  }
+  cr_assert(!platform::DecodeReplica(std::string("i-1\0", 4), entry));
+}
+
 // Guards against log lines and memory without bound: a name of nearly a megabyte.
 Test(odd_entries, long_names_are_refused) {
   const std::string name(900'000, 'x');
