--- a/tests/platform/test_odd_entries.cc
+++ b/tests/platform/test_odd_entries.cc
@@ -136,6 +136,16 @@
   cr_assert(!platform::DecodeReplica("i", ServerEntry("version", "\"" + name + "\"")));
 }
 
+// Guards against an address that is sent to callers with bytes that the check of it does not see:
+// the text after a NUL.
+Test(odd_entries, an_address_with_a_nul_is_refused) {
+  cr_assert(!platform::DecodeReplica("i", ServerEntry("address", R"("10.0.0.9\u0000x:8080")")));
+  gossip_entry host{.key = "member/h", .incarnation = 1, .version = 4};
+  using namespace std::string_literals;
+  host.value = "r\nd\n10.0.0.1\0x:80\n10.0.0.1:81\n500"s;
+  cr_assert(!ParseMember(host));
+}
+
 // Guards against times, counts and sizes of a configuration that overflow when they are converted
 // or added.
 Test(odd_entries, a_configuration_with_numbers_that_are_too_large_is_bounded) {
