Node: metrics show how far a host follows the store

A host that gets no changes logged nothing and looked like one in a quiet time, so that a lost watch could not be told from a store without changes. limpetlever_store_revision is the revision up to which the host knows all changes, limpetlever_source_answer_age_seconds the time since its source has last answered.

--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -68,6 +68,12 @@
                                     "Events whose handling ended with an exception")),
       store_reachable_(
           AddGauge(*registry_, "limpetlever_store_reachable", "1 while the store answers")),
+      store_revision_(AddGauge(*registry_,
+                               "limpetlever_store_revision",
+                               "Revision of the store up to which all changes are known")),
+      source_answer_age_(AddGauge(*registry_,
+                                  "limpetlever_source_answer_age_seconds",
+                                  "Time since the source of changes has last answered")),
       config_version_(AddGauge(*registry_,
                                "limpetlever_config_version",
                                "Version of the configuration in force")),
@@ -131,6 +137,11 @@
   store_reachable_.Set(is_reachable ? 1.0 : 0.0);
 }
 
+void node_metrics::SetStoreProgress(double revision, duration answer_age) {
+  store_revision_.Set(revision);
+  source_answer_age_.Set(std::chrono::duration<double>(answer_age).count());
+}
+
 void node_metrics::SetConfigVersion(double version) {
   config_version_.Set(version);
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -42,6 +42,11 @@
   /** Counts an exception that ended the handling of one event. */
   void OnUnexpectedError();
   void SetStoreReachable(bool is_reachable);
+  /**
+   * The revision of the store up to which this host knows all changes, and the time since its
+   * source of changes, the store or a host that relays it, has last answered.
+   */
+  void SetStoreProgress(double revision, duration answer_age);
   void SetConfigVersion(double version);
   /** Number of backend servers known to this host. */
   void SetBackendServerCount(double count);
@@ -69,6 +74,8 @@
   prometheus::Counter& entries_refused_;
   prometheus::Counter& unexpected_errors_;
   prometheus::Gauge& store_reachable_;
+  prometheus::Gauge& store_revision_;
+  prometheus::Gauge& source_answer_age_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& backend_servers_;
   prometheus::Gauge& hosts_alive_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -375,6 +375,8 @@
 
 void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
   metrics_.SetDroppedLogLines(static_cast<double>(log_.dropped()));
+  metrics_.SetStoreProgress(static_cast<double>(feed_.revision()),
+                            loop_.Now() - feed_.last_answer());
   metrics_.SetBackendServerCount(static_cast<double>(replicas_.size()));
   for (std::size_t i = 0; i < platform::kStoreCallKinds; ++i) {
     const auto kind = static_cast<platform::store_call>(i);
