Node: limpetlever_store_reachable is 1 from the first answer on

Cause: the gauge was set only when the store was lost or regained, and a gauge begins with 0.

Change: it is read from the feed with the other gauges.

Measured: node_server/reports_a_store_that_answers_as_reachable fails before and passes after.

--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -375,6 +375,7 @@
 
 void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
   metrics_.SetDroppedLogLines(static_cast<double>(log_.dropped()));
+  metrics_.SetStoreReachable(feed_.revision() > 0 && feed_.IsStoreReachable());
   metrics_.SetStoreProgress(static_cast<double>(feed_.revision()),
                             loop_.Now() - feed_.last_answer());
   metrics_.SetBackendServerCount(static_cast<double>(replicas_.size()));
@@ -567,12 +568,10 @@
 }
 
 void node_server::OnStoreLost(int status) {
-  metrics_.SetStoreReachable(false);
   log_.Record(event_number::store_lost, {{"status", status}});
 }
 
 void node_server::OnStoreRegained(duration outage) {
-  metrics_.SetStoreReachable(true);
   log_.Record(event_number::store_regained, {{"outage_ms", outage}});
 }
 
--- a/tests/node/test_node_server.cc
+++ b/tests/node/test_node_server.cc
@@ -27,6 +27,15 @@
                 .body.find("limpetlever_answers_total") != std::string::npos);
 }
 
+// Guards against a host that reports a store as unreachable from its start until the end of the
+// first outage.
+Test(node_server, reports_a_store_that_answers_as_reachable) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  cr_assert(fixture.Metric("limpetlever_store_reachable") == 1);
+  cr_assert(fixture.Metric("limpetlever_store_revision") > 0);
+}
+
 // Guards against a request that may run only once being run again after its answer was lost, or
 // being reported as not run.
 Test(node_server, a_lost_answer_is_not_retried) {
