Platform: a host finds out that its watch of the store is lost

Cause: all hosts had sent their watches in the silence, where the store never received them. Such a watch looks like one without changes, and is waited for until it times out. Neither a renewal of a lease (one in 2 s) fell into the silence, nor was another host ahead.

Evidence: limpetlever_source_answer_age_seconds grows to 27.3 s on all hosts while renewals are answered, and limpetlever_store_revision stays at 11 of 18.

Ruled out: hosts that do not reach the store (renewals are answered) or that know the changes and do not apply them (the revision).

Change: revision_checker asks the store for its revision 1.5 s after the last answer. If the watch does not report what the store has named, the changes are read at once and a new watch follows (934, cause store). The reads may mostly be stale, so that they cost a tenth; few enough are not that all hosts together make 1.3 of these a second (decision 0016). It works whatever has lost the watch, because it compares what the host knows with what the store has.

--- a/src/liblimpetlever/control/control_listener.h
+++ b/src/liblimpetlever/control/control_listener.h
@@ -54,6 +54,11 @@
    * answered (0).
    */
   virtual void OnSourceFailed(int status) = 0;
+  /**
+   * The watch has reported nothing after `revision` although the store has changes up to `newest`;
+   * it is replaced.
+   */
+  virtual void OnWatchReplaced(std::int64_t revision, std::int64_t newest) = 0;
   virtual void OnStoreHistoryLost(std::int64_t revision) = 0;
   /**
    * The store has answered a call after an earlier call was left without an answer. A watch that
--- a/src/liblimpetlever/control/source_selector.cc
+++ b/src/liblimpetlever/control/source_selector.cc
@@ -40,6 +40,21 @@
   return IsWatcher(members, own_data_centre_, own_name_);
 }
 
+int source_selector::CountDirectHosts(const std::vector<member>& members) {
+  std::map<std::string, int> alive;
+  for (const member& host : members) {
+    if (host.state == member_state::alive || host.state == member_state::suspect) {
+      ++alive[host.data_centre];
+    }
+  }
+  const bool is_large = static_cast<int>(members.size()) > kMaxDirectHosts;
+  int direct = 0;
+  for (const auto& [data_centre, hosts] : alive) {
+    direct += is_large ? std::min(hosts, static_cast<int>(kWatchersPerDataCentre)) : hosts;
+  }
+  return direct;
+}
+
 std::vector<std::string> source_selector::RemoteCandidates(const std::vector<member>& members,
                                                            bool has_all) const {
   const std::uint64_t own_hash = Hash(own_name_);
--- a/src/liblimpetlever/control/source_selector.h
+++ b/src/liblimpetlever/control/source_selector.h
@@ -50,6 +50,8 @@
   void OnFailed(instant now);
   /** Whether this host is a watcher and should relay changes from the service to other hosts. */
   bool ShouldRelay(const std::vector<member>& members) const;
+  /** The number of live hosts that read from the service itself while it answers all of them. */
+  static int CountDirectHosts(const std::vector<member>& members);
   /** Whether all watchers that this host could follow have failed, as of the last Choose(). */
   bool HasNoWatcher() const { return has_no_watcher_; }
   /** The result of the last call of Choose(). */
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -234,6 +234,7 @@
     return host.state != member_state::dead;
   });
   metrics_.SetLiveHostCount(static_cast<double>(hosts));
+  feed_.SetDirectHosts(source_selector::CountDirectHosts(members));
   const auto in_use = SelectHostsInUse(members, MaxHostsInUse());
   UpdateRetryShare(in_use, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
   UpdateLimitSharers();
@@ -355,7 +356,9 @@
       peers_.AnnounceRevision();
     }
   } else if (peers_.IsBehind() && loop_.Now() - started_ >= kFirstSourceChoice) {
-    log_.Record(event_number::watch_renewed, {{"revision", announced_revision_}});
+    log_.Record(event_number::watch_renewed, {{"revision", announced_revision_},
+                                              {"newest", peers_.newest_peer_revision()},
+                                              {"cause", "peers"}});
     if (source_.current().empty()) {
       feed_.RestartStaleWatch();
     } else {
@@ -580,6 +583,11 @@
   UpdateSource(status == 0 ? "no_answer" : "refused");
 }
 
+void node_server::OnWatchReplaced(std::int64_t revision, std::int64_t newest) {
+  log_.Record(event_number::watch_renewed,
+              {{"revision", revision}, {"newest", newest}, {"cause", "store"}});
+}
+
 void node_server::OnStoreHistoryLost(std::int64_t revision) {
   log_.Record(event_number::store_history_lost, {{"revision", revision}});
 }
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -112,6 +112,7 @@
   void OnStoreLost(int status) override;
   void OnStoreRegained(duration outage) override;
   void OnSourceFailed(int status) override;
+  void OnWatchReplaced(std::int64_t revision, std::int64_t newest) override;
   void OnStoreHistoryLost(std::int64_t revision) override;
   void OnStoreResponsive() override;
   void OnCaughtUp() override;
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -84,6 +84,8 @@
   void AnnounceRevision();
   /** Whether another host has a newer store revision that did not arrive here within 1 s. */
   bool IsBehind() const;
+  /** The newest revision of the store that another host has named. */
+  std::int64_t newest_peer_revision() const { return newest_peer_revision_; }
   /** Whether another host has a newer store revision. */
   bool IsOtherAhead() const { return newest_peer_revision_ > revision_; }
   /** Whether other hosts have had a newer one for 1 s, while this host has not advanced. */
--- a/tests/control/test_source_selector.cc
+++ b/tests/control/test_source_selector.cc
@@ -48,6 +48,20 @@
 
 }  // namespace
 
+// Guards against a number of hosts that ask the service for its revision which is not that of the
+// hosts that follow it: they would ask too often, or not often enough.
+Test(source_selector, counts_the_hosts_that_follow_the_service) {
+  cr_assert(source_selector::CountDirectHosts({}) == 0);
+  cr_assert(source_selector::CountDirectHosts(MakeFleet(1, 1)) == 1);
+  cr_assert(source_selector::CountDirectHosts(MakeFleet(4, 3)) == 12);
+  auto hosts = MakeFleet(4, 30);
+  cr_assert(source_selector::CountDirectHosts(hosts) == 8);
+  for (int i = 0; i < 29; ++i) {
+    SetState(hosts, "d0h" + std::to_string(i), member_state::dead);
+  }
+  cr_assert(source_selector::CountDirectHosts(hosts) == 7);
+}
+
 // Guards against a large fleet in which every host watches the key-value service, and against
 // watchers that follow other hosts.
 Test(source_selector, few_hosts_of_a_large_fleet_watch_the_service) {
--- a/tests/platform/test_control_feed.cc
+++ b/tests/platform/test_control_feed.cc
@@ -25,6 +25,9 @@
 // has been applied, unless the call has prolonged the delay.
 constexpr duration kRestOfDelay = std::chrono::milliseconds(1800);
 
+// Within this time after the store has confirmed a change, it must be in force.
+constexpr duration kChangeBound = std::chrono::seconds(3);
+
 /** Records the replicas of a host. */
 class recorder : public control_listener {
  public:
@@ -44,6 +47,7 @@
   void OnCrashReported(const gossip_entry&) override {}
   void OnStoreLost(int) override {}
   void OnSourceFailed(int) override {}
+  void OnWatchReplaced(std::int64_t, std::int64_t) override { ++watches_replaced; }
   void OnStoreHistoryLost(std::int64_t) override {}
   void OnStoreResponsive() override {}
   void OnCaughtUp() override {}
@@ -53,6 +57,7 @@
   int removals = 0;
   int delays = 0;
   int regained = 0;
+  int watches_replaced = 0;
 };
 
 struct feed_fixture : loop_fixture {
@@ -96,6 +101,27 @@
     RunUntil([this, before] { return recorded.regained > before; });
   }
 
+  /**
+   * The store receives a watch of the host and never answers it: it is silent for less than a
+   * second, in which the host sends nothing else.
+   */
+  void LoseWatch() {
+    const int calls = store.CallCount("/kv-watch");
+    store.Write("other", "a change that answers the watch");
+    RunFor(std::chrono::milliseconds(400));
+    store.SetMode(platform_store::mode_type::silent);
+    RunUntil([this, calls] { return store.CallCount("/kv-watch") > calls; });
+    store.SetMode(platform_store::mode_type::normal);
+  }
+
+  /** How long the host needs to learn of a server that registers now. */
+  duration TimeToLearnOfServer() {
+    const instant start = loop.UpdateNow();
+    store.Write("servers/i3", kServer);
+    RunUntil([this] { return recorded.replicas.contains("i3"); });
+    return loop.Now() - start;
+  }
+
   /** The store is away for `time`, as this host's calls show. */
   void TakeStoreAway(duration time) {
     const int before = recorded.regained;
@@ -139,6 +165,68 @@
   cr_assert(fixture.recorded.removals == 1);
 }
 
+// Guards against a host that applies no change for up to 29 s: the store was silent for less than a
+// second, in which the host sent a watch and nothing else.
+Test(control_feed, a_watch_that_a_short_silence_has_lost_is_replaced) {
+  feed_fixture fixture;
+  fixture.feed.SetDirectHosts(12);
+  fixture.LoseWatch();
+  cr_assert(fixture.TimeToLearnOfServer() < kChangeBound);
+  cr_assert(fixture.recorded.watches_replaced == 1);
+  cr_assert(fixture.recorded.regained == 0, "no call has failed");
+}
+
+// Guards against a lost watch that is not noticed because the reads that may be stale come from a
+// member of the store that is behind.
+Test(control_feed, a_lost_watch_is_replaced_although_stale_reads_are_behind) {
+  feed_fixture fixture;
+  fixture.feed.SetDirectHosts(1);
+  fixture.store.SetStaleRevision(fixture.store.revision());
+  fixture.LoseWatch();
+  cr_assert(fixture.TimeToLearnOfServer() < kChangeBound);
+}
+
+// Guards against a watch whose answer was lost, although the store had received it: it waits for
+// changes while the connection is of no use any more.
+Test(control_feed, a_watch_whose_answer_is_lost_is_replaced) {
+  feed_fixture fixture;
+  fixture.feed.SetDirectHosts(12);
+  fixture.RunFor(std::chrono::seconds(2));
+  fixture.store.SetMode(platform_store::mode_type::silent);
+  const instant start = fixture.loop.UpdateNow();
+  fixture.store.DropWaiting();
+  fixture.store.Write("servers/i3", kServer);
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.RunUntil([&] { return fixture.recorded.replicas.contains("i3"); });
+  cr_assert(fixture.loop.Now() - start < kChangeBound);
+}
+
+// Guards against calls without end: a watch that works must not be replaced because of the changes
+// that it is about to report, nor because a read was answered by a member that is behind.
+Test(control_feed, a_watch_that_works_is_not_replaced) {
+  feed_fixture fixture;
+  fixture.feed.SetDirectHosts(1);
+  for (int i = 0; i < 40; ++i) {
+    fixture.store.Write("other", std::to_string(i));
+    fixture.RunFor(std::chrono::milliseconds(i * 10));
+  }
+  fixture.store.SetStaleRevision(1);
+  fixture.RunFor(std::chrono::seconds(4));
+  cr_assert(fixture.recorded.watches_replaced == 0);
+}
+
+// Guards against a whole fleet that asks the store: a host that follows another one does not.
+Test(control_feed, a_follower_does_not_ask_for_the_revision) {
+  feed_fixture fixture;
+  fixture.feed.SetRelaying(true);
+  fixture.RunFor(std::chrono::seconds(3));
+  fixture.feed.SetSource(socket_address{.ip = "127.0.0.1", .port = 1});
+  fixture.RunFor(std::chrono::milliseconds(100));
+  const int calls = fixture.store.CallCount("/kv-range");
+  fixture.RunFor(std::chrono::seconds(4));
+  cr_assert(fixture.store.CallCount("/kv-range") == calls);
+}
+
 // Guards against live servers that a host stops using because their entries lapsed in an outage.
 Test(control_feed, a_server_that_registers_again_after_an_outage_stays_in_use) {
   feed_fixture fixture;
--- a/tests/platform/test_store_relay.cc
+++ b/tests/platform/test_store_relay.cc
@@ -56,6 +56,7 @@
       relay_->SetSourceReachable(true);
     }
   }
+  void OnWatchReplaced(std::int64_t) override {}
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
 
   std::map<std::string, std::string> values;
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -36,6 +36,7 @@
   void OnStoreLost(int) override { ++stores_lost; }
   void OnAnswered(duration) override {}
   void OnStoreRegained(duration) override { ++stores_regained; }
+  void OnWatchReplaced(std::int64_t) override { ++watches_replaced; }
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
 
   std::map<std::string, std::string> values;
@@ -43,6 +44,7 @@
   int stores_lost = 0;
   int stores_regained = 0;
   int histories_lost = 0;
+  int watches_replaced = 0;
   std::function<void()> on_failure;
 };
 
