--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -151,6 +151,23 @@
   cr_assert(fixture.store.CallCount("/kv-watch") == 1);
 }
 
+// Guards against a host that waits for another second before it renews a watch that is lost, because
+// the watch was too recent when other hosts were found to be ahead.
+Test(store_watcher, a_recent_watch_is_restarted_once_it_has_waited_long_enough) {
+  watcher_fixture fixture;
+  fixture.watcher.Start();
+  fixture.RunUntil([&] { return fixture.recorded.loads == 1; });
+  fixture.store.SetMode(platform_store::mode_type::silent);
+  fixture.RunUntil([&] { return fixture.store.CallCount("/kv-watch") == 1; });
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.store.Write("a", "1");
+  const instant start = fixture.loop.UpdateNow();
+  fixture.watcher.RestartStaleWatch();
+  fixture.RunUntil([&] { return fixture.recorded.values.contains("a"); });
+  cr_assert(fixture.loop.Now() - start < std::chrono::milliseconds(2500));
+  cr_assert(fixture.store.CallCount("/kv-watch") == 2);
+}
+
 // Guards against a load that never ends: its pages take longer than the time limit of a call.
 Test(store_watcher, a_load_over_a_slow_link_is_not_abandoned) {
   loop_fixture fixture;
