Net: a response whose status HTTP does not have is no response

Here 600 and 999 were passed on as answers to requests that may run only once, and after 000, 099 and 101 their callers waited until the deadline and got 504, although the server had answered.

Cause: http_reader discards each response with a status up to 199 as an interim one, whose final response is then waited for, and has no upper bound.

Evidence: the new tests. node_server/an_answer_with_an_invalid_status_is_no_answer fails before with "000: 504" after 4.0 s, its deadline; http_reader/a_status_that_http_does_not_have_is_malformed fails at 000.

Ruled out: requests that may be repeated; another server answered them before the change as well.

Change: a status outside 100 to 599, 101, or one with other than three digits is malformed. That closes the connection, and the attempt ends as one that may have run: it is retried if the request may be repeated, else the caller gets 502 at once. The header after an interim response is checked for ambiguous lines like the first, since the reader begins a new message there.

--- a/src/limpetlever/net/http_reader.cc
+++ b/src/limpetlever/net/http_reader.cc
@@ -4,7 +4,17 @@
 
 namespace {
 
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 constexpr int kLastInformationalStatus = 199;  // 1xx responses precede the final one
+constexpr int kSwitchingProtocols = 101;
+// Position after the status of "HTTP/1.1 200".
+constexpr std::size_t kStatusEnd = 12;
+
+/** Whether a response may have this status. No request asks for another protocol. */
+bool IsStatus(unsigned status) {
+  return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
+}
 
 }  // namespace
 
@@ -84,6 +94,9 @@
       self.state_ = state::body_too_large;
       return -1;
     }
+  } else if (!IsStatus(parser->status_code)) {
+    self.state_ = state::malformed;
+    return -1;
   } else {
     self.message_.status = static_cast<int>(parser->status_code);
   }
@@ -103,8 +116,8 @@
 int http_reader::OnMessageComplete(http_parser* parser) {
   http_reader& self = Self(parser);
   if (self.side_ == side::responses && parser->status_code <= kLastInformationalStatus) {
-    self.message_.Clear();
-    self.has_header_ = false;
+    self.is_interim_ = true;
+    http_parser_pause(parser, 1);
     return 0;
   }
   self.message_.keeps_alive = http_should_keep_alive(parser) != 0;
@@ -117,7 +130,11 @@
   for (const char byte : bytes) {
     const bool is_bare_line_end = byte == '\n' && last_byte_ != '\r';
     const bool is_folded = last_byte_ == '\n' && (byte == ' ' || byte == '\t');
-    if (is_bare_line_end || is_folded) {
+    // The parser also takes "0200" for 200.
+    const bool is_status_too_long = side_ == side::responses && !has_start_line_ &&
+                                    line_bytes_ == kStatusEnd && byte != ' ' && byte != '\r' &&
+                                    byte != '\n';
+    if (is_bare_line_end || is_folded || is_status_too_long) {
       return true;
     }
     if (byte == '\n') {
@@ -139,6 +156,17 @@
   if (state_ != state::reading || bytes.empty()) {
     return 0;
   }
+  std::size_t used = 0;
+  do {
+    used += FeedMessage(bytes.substr(used));
+    if (is_interim_) {
+      Next();
+    }
+  } while (used < bytes.size() && state_ == state::reading);
+  return used;
+}
+
+std::size_t http_reader::FeedMessage(std::string_view bytes) {
   if (!is_header_checked_ && HasAmbiguousLines(bytes)) {
     state_ = state::malformed;
     return bytes.size();
@@ -169,6 +197,7 @@
   state_ = state::reading;
   has_begun_ = false;
   has_header_ = false;
+  is_interim_ = false;
   last_byte_ = 0;
   line_bytes_ = 0;
   has_start_line_ = false;
--- a/src/limpetlever/net/http_reader.h
+++ b/src/limpetlever/net/http_reader.h
@@ -19,7 +19,10 @@
     reading,
     /** message() is complete; Next() begins the next one. */
     complete,
-    /** Not valid HTTP, or ambiguous: two parsers could take it for different messages. */
+    /**
+     * Not valid HTTP, or ambiguous: two parsers could take it for different messages. Also a
+     * response whose status is not from 100 to 599, or is 101.
+     */
     malformed,
     header_too_large,
     body_too_large
@@ -59,7 +62,12 @@
   static int OnHeadersComplete(http_parser* parser);
   static int OnBody(http_parser* parser, const char* at, std::size_t size);
   static int OnMessageComplete(http_parser* parser);
-  /** Whether the header has a line feed without a carriage return, or a folded line. */
+  /** Feed up to the end of one message, which may be an interim response. */
+  std::size_t FeedMessage(std::string_view bytes);
+  /**
+   * Whether the header has a line feed without a carriage return, a folded line, or more than three
+   * digits in its status.
+   */
   bool HasAmbiguousLines(std::string_view bytes);
   void BeginMessage();
   int CheckHeaderSize();
@@ -72,6 +80,8 @@
   state state_ = state::reading;
   bool has_begun_ = false;
   bool has_header_ = false;
+  /** Whether the message is an interim response, which is complete and is to be discarded. */
+  bool is_interim_ = false;
   bool expects_no_body_ = false;
   char last_byte_ = 0;
   std::size_t line_bytes_ = 0;
--- a/tests/net/test_http_reader.cc
+++ b/tests/net/test_http_reader.cc
@@ -103,6 +103,37 @@
   cr_assert(reader->message().status == 204 && reader->message().Find("X") == "y");
 }
 
+// Guards against a response that is passed on, or for whose successor its reader waits, although
+// its status is none of HTTP: 000 and 099 look like interim responses, and nobody asks for 101.
+Test(http_reader, a_status_that_http_does_not_have_is_malformed) {
+  for (const char* status : {"000", "001", "099", "101", "600", "999", "0", "20", "0200", "2000",
+                             "00200", "-200", "+20", "2 0", " 200", "0x0"}) {
+    const auto reader = MakeReader(http_reader::side::responses);
+    reader->Feed("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nab");
+    cr_assert(reader->current() == http_reader::state::malformed, "%s", status);
+  }
+  const auto reader = MakeReader(http_reader::side::responses);
+  reader->Feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nab");
+  cr_assert(reader->current() == http_reader::state::malformed, "after an interim response");
+}
+
+// Guards against answers that are refused although their status is valid, if seldom used.
+Test(http_reader, each_status_of_http_is_read) {
+  for (int status = 200; status < 600; ++status) {
+    const auto reader = MakeReader(http_reader::side::responses);
+    reader->Feed("HTTP/1.1 " + std::to_string(status) + "\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(reader->current() == http_reader::state::complete, "%d", status);
+    cr_assert(reader->message().status == status);
+  }
+  for (const char* interim : {"100", "102", "103", "199"}) {
+    const auto reader = MakeReader(http_reader::side::responses);
+    reader->Feed("HTTP/1.1 " + std::string(interim) +
+                 " X\r\n\r\nHTTP/1.0 200 OK\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    cr_assert(reader->message().status == 200, "%s", interim);
+  }
+}
+
 // Guards against crashes and broken limits on corrupted input: 20,000 mutations with a fixed seed.
 Test(http_reader, corrupted_bytes_are_parsed_or_rejected) {
   const std::vector<std::string> corpus = {
--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -66,6 +66,8 @@
   bool is_leaving = false;
   /** The Retry-After field of its refusals; empty: none. */
   std::string retry_after = {};
+  /** The status of its answers, as text; empty: 200. */
+  std::string status = {};
   /** Whether it answers 503 after it has run a request. */
   bool denies_runs = false;
   /**
@@ -459,21 +461,22 @@
       const std::lock_guard lock(mutex_);
       ++closed_[request_id];
     });
-    loop.timers().Subscribe(loop.Now() + behaviour.delay,
-                            [id, request_id, &behaviour, caller, head](instant) {
-                              if (behaviour.loses_answers) {
-                                caller->Abort();
-                                return;
-                              }
-                              std::string answer_head = head;
-                              AppendStatusLine(answer_head, 200);
-                              AppendField(answer_head, "Attempt-Id", request_id);
-                              AppendField(answer_head, "Response-Seal", "sig-" + id);
-                              if (behaviour.is_leaving) {
-                                AppendField(answer_head, "Server-Leaving", "1");
-                              }
-                              caller->Answer(answer_head, id + std::string(16 - id.size(), '.'));
-                            });
+    loop.timers().Subscribe(
+        loop.Now() + behaviour.delay, [id, request_id, &behaviour, caller, head](instant) {
+          if (behaviour.loses_answers) {
+            caller->Abort();
+            return;
+          }
+          std::string answer_head = head;
+          answer_head +=
+              "HTTP/1.1 " + (behaviour.status.empty() ? "200" : behaviour.status) + " OK\r\n";
+          AppendField(answer_head, "Attempt-Id", request_id);
+          AppendField(answer_head, "Response-Seal", "sig-" + id);
+          if (behaviour.is_leaving) {
+            AppendField(answer_head, "Server-Leaving", "1");
+          }
+          caller->Answer(answer_head, id + std::string(16 - id.size(), '.'));
+        });
   }
 
   node_settings settings_;
--- a/tests/node/test_node_server.cc
+++ b/tests/node/test_node_server.cc
@@ -45,6 +45,32 @@
   cr_assert(fixture.RunCount("id-1") == 1);
 }
 
+// Guards against an answer whose status HTTP does not have: a caller gets it, or waits until its
+// deadline although the server has answered.
+Test(node_server, an_answer_with_an_invalid_status_is_no_answer) {
+  constexpr int kDeadlineMs = 4000;
+  for (const char* status : {"000", "099", "101", "600", "999"}) {
+    host_fixture fixture({{"s1", {.status = status}}, {"s2", {.status = status}}});
+    fixture.WaitUntilReady();
+    const answer once = fixture.SendRequest("POST", "/p/1", "id-1", "body", kDeadlineMs);
+    cr_assert(once.status == 502, "%s: %d", status, once.status);
+    cr_assert(fixture.RunCount("id-1") == 1, "the request may have run");
+    const answer repeated = fixture.SendRequest("GET", "/i/1", "id-2", {}, kDeadlineMs);
+    cr_assert(repeated.status == 502, "%s: %d", status, repeated.status);
+  }
+}
+
+// Guards against a request that may be repeated and is not served, although another server answers
+// it.
+Test(node_server, another_server_answers_after_an_invalid_status) {
+  host_fixture fixture({{"s1", {.status = "000"}}});
+  fixture.WaitUntilReady();
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "id-" + std::to_string(i);
+    cr_assert(fixture.SendRequest("GET", "/i/1", id, {}, 4000).status == 200);
+  }
+}
+
 // Guards against not retrying a request that servers refused, or reporting it as run.
 Test(node_server, a_refused_request_is_retried) {
   host_fixture fixture({{"s1", {.refusals = 1}}, {"s2", {.refusals = 1}}});
