--- a/src/limpetlever/net/http_client.cc
+++ b/src/limpetlever/net/http_client.cc
@@ -41,11 +41,11 @@
                          std::size_t max_body_bytes,
                          duration unacknowledged_timeout,
                          handler& target,
-                         receive_memory* memory)
+                         std::shared_ptr<receive_memory> memory)
     : loop_(loop),
       handler_(target),
       reader_(http_reader::side::responses, kMaxHeaderBytes, max_body_bytes),
-      memory_(memory),
+      memory_(std::move(memory)),
       max_received_bytes_(2 * max_body_bytes + kMaxOverheadBytes),
       socket_(loop, ConnectOrClosed(address), true, *this),
       last_used_(loop.Now()) {
@@ -58,13 +58,13 @@
 }
 
 void http_client::HoldMemory() {
-  if (memory_ != nullptr) {
+  if (memory_) {
     memory_->Hold(*this, reader_.message().memory_bytes());
   }
 }
 
 void http_client::ReleaseMemory() {
-  if (memory_ != nullptr) {
+  if (memory_) {
     memory_->Release(*this);
   }
 }
--- a/src/limpetlever/net/http_client.h
+++ b/src/limpetlever/net/http_client.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_NET_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,15 +52,14 @@
   /**
    * Begins to connect. A failure is reported from the event loop, never from the constructor.
    * Sent bytes may stay unacknowledged for `unacknowledged_timeout` before the connection fails.
-   * `memory`, if not null, limits what the incomplete responses of several clients take together;
-   * it must outlive the client.
+   * `memory`, if not null, limits what the incomplete responses of several clients take together.
    */
   http_client(event_loop& loop,
               const socket_address& address,
               std::size_t max_body_bytes,
               duration unacknowledged_timeout,
               handler& target,
-              receive_memory* memory = nullptr);
+              std::shared_ptr<receive_memory> memory = nullptr);
   ~http_client() override;
 
   /** Sends a complete request. To be called only when connected and not busy. */
@@ -96,7 +96,7 @@
   event_loop& loop_;
   handler& handler_;
   http_reader reader_;
-  receive_memory* const memory_;
+  const std::shared_ptr<receive_memory> memory_;
   const std::size_t max_received_bytes_;
   /** Bytes that arrived since the request was sent. */
   std::size_t received_bytes_ = 0;
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -36,12 +36,12 @@
                            node_metrics& metrics,
                            std::shared_ptr<replica_record> target,
                            const std::function<void(const std::string&)>& on_refused,
-                           receive_memory& memory)
+                           std::shared_ptr<receive_memory> memory)
     : loop_(loop),
       metrics_(metrics),
       target_(std::move(target)),
       on_refused_(on_refused),
-      memory_(memory) {}
+      memory_(std::move(memory)) {}
 
 replica_pool::~replica_pool() {
   loop_.timers().Cancel(crash_check_);
@@ -164,7 +164,7 @@
   metrics_.OnConnectionOpened();
   connections_.push_back(
       {.client = std::make_unique<http_client>(loop_, target_->registered.address, kMaxBodyBytes,
-                                               kUnacknowledgedTimeout, *this, &memory_),
+                                               kUnacknowledgedTimeout, *this, memory_),
        .attempt = nullptr,
        .opened = loop_.Now(),
        .number = next_connection_number_++});
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -23,14 +23,15 @@
 class replica_pool : public http_client::handler {
  public:
   /**
-   * `on_refused` is called with the server's id when it refuses a connection. `memory` limits what
-   * the incomplete answers of all pools take. Both are held by reference and must outlive the pool.
+   * `on_refused` is called with the server's id when it refuses a connection. It is held by
+   * reference and must outlive the pool. `memory` limits what the incomplete answers of all pools
+   * take.
    */
   replica_pool(event_loop& loop,
                node_metrics& metrics,
                std::shared_ptr<replica_record> target,
                const std::function<void(const std::string&)>& on_refused,
-               receive_memory& memory);
+               std::shared_ptr<receive_memory> memory);
   ~replica_pool() override;
 
   /**
@@ -105,7 +106,7 @@
   node_metrics& metrics_;
   const std::shared_ptr<replica_record> target_;
   const std::function<void(const std::string&)>& on_refused_;
-  receive_memory& memory_;
+  const std::shared_ptr<receive_memory> memory_;
   std::size_t max_connections_ = 1;
   bool keeps_connections_ = true;
   connection_list connections_;
--- a/src/limpetlever/node/replica_pools.cc
+++ b/src/limpetlever/node/replica_pools.cc
@@ -24,7 +24,9 @@
 }  // namespace
 
 replica_pools::replica_pools(event_loop& loop, node_metrics& metrics)
-    : loop_(loop), metrics_(metrics), answer_memory_(kDefaultAnswerBytes) {
+    : loop_(loop),
+      metrics_(metrics),
+      answer_memory_(std::make_shared<receive_memory>(kDefaultAnswerBytes)) {
   sweep_ = loop_.timers().SubscribeEvery(loop_.Now() + kSweepPeriod, kSweepPeriod,
                                          [this](instant) { Sweep(); });
 }
--- a/src/limpetlever/node/replica_pools.h
+++ b/src/limpetlever/node/replica_pools.h
@@ -31,8 +31,8 @@
    */
   void SetConnectionLimits(const route_table& table, int hosts, bool is_in_use);
   /** Limits what all incomplete answers of backend servers take together. */
-  void SetAnswerMemory(std::size_t max_bytes) { answer_memory_.SetMaxBytes(max_bytes); }
-  const receive_memory& answer_memory() const { return answer_memory_; }
+  void SetAnswerMemory(std::size_t max_bytes) { answer_memory_->SetMaxBytes(max_bytes); }
+  const receive_memory& answer_memory() const { return *answer_memory_; }
   /** Sets the function to call with the id of a backend server that refused a connection. */
   void OnConnectionRefused(std::function<void(const std::string&)> call) {
     on_refused_ = std::move(call);
@@ -49,7 +49,8 @@
 
   event_loop& loop_;
   node_metrics& metrics_;
-  receive_memory answer_memory_;
+  /** Also held by the connections, which may outlive this object. */
+  const std::shared_ptr<receive_memory> answer_memory_;
   std::unordered_map<const replica_record*, std::unique_ptr<replica_pool>> pools_;
   /** By service: connections that one backend server accepts from all hosts together. */
   std::unordered_map<std::string, int> max_connections_by_service_;
--- a/tests/node/test_replica_pool.cc
+++ b/tests/node/test_replica_pool.cc
@@ -63,7 +63,7 @@
   duration clock_ahead{};
   event_loop loop;
   node_metrics metrics;
-  receive_memory memory{1024 * 1024};
+  std::shared_ptr<receive_memory> memory = std::make_shared<receive_memory>(1024 * 1024);
   const socket_address address;
   std::vector<std::string> received;
   std::map<std::string, attempt_failure> failed;
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -151,8 +151,8 @@
   cr_assert(fixture.store.CallCount("/kv-watch") == 1);
 }
 
-// Guards against a host that waits for another second before it renews a watch that is lost, because
-// the watch was too recent when other hosts were found to be ahead.
+// Guards against a host that waits for another second before it renews a watch that is lost,
+// because the watch was too recent when other hosts were found to be ahead.
 Test(store_watcher, a_recent_watch_is_restarted_once_it_has_waited_long_enough) {
   watcher_fixture fixture;
   fixture.watcher.Start();
