--- a/src/limpetlever/node/node_settings.cc
+++ b/src/limpetlever/node/node_settings.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int kMinDescriptors = 256;
-constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr double kMegabyte = 1024.0 * 1024.0;
 constexpr double kMinMemoryMb = 16.0;
 constexpr double kMaxMemoryMb = 1024.0 * 1024.0;
 constexpr double kMaxCores = 1024.0;
@@ -111,9 +111,9 @@
   settings.processor_share =
       static_cast<int>(1000.0 * reader.Number("processor_share", 0.001, kMaxCores,
                                               settings.processor_share / 1000.0));
-  settings.max_memory = kMegabyte * static_cast<std::size_t>(reader.Number(
-                                        "memory_mb", kMinMemoryMb, kMaxMemoryMb,
-                                        static_cast<double>(settings.max_memory / kMegabyte)));
+  settings.max_memory = static_cast<std::size_t>(
+      kMegabyte * reader.Number("memory_mb", kMinMemoryMb, kMaxMemoryMb,
+                                static_cast<double>(settings.max_memory) / kMegabyte));
   settings.grace_time = reader.Seconds("grace_s", settings.grace_time);
   settings.max_advice_lifetime =
       reader.Seconds("max_advice_lifetime_s", settings.max_advice_lifetime);
