--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -547,8 +547,127 @@
   End(hosts, unsealed > 0 ? kBroken : kHeld);
 }
 
+/**
+ * All servers of one service go silent while consumers send it large requests. The platform ends
+ * the process when it exceeds its memory, as DEPLOY.md says, and starts it again.
+ */
+void PlayMemory() {
+  // The site has 113 requests a second in all.
+  constexpr int kSearchesPerS = 95;
+  constexpr int kReadsPerS = 18;
+  constexpr int kReaders = 12;
+  constexpr int kSearchers = 450;
+  constexpr std::int64_t kSilentMs = 5100;
+  constexpr std::size_t kBodyBytes = 262'000;
+  constexpr int kAllowedLost = 3;
+  fleet hosts(1);
+  node& host = *hosts.nodes[0];
+  const long max_kb = host.memory_mb * 1024L;
+  hosts.registry.Put(
+      "op/config",
+      ConfigJson(3,
+                 RouteJson("r-1", "/search/", "idempotent", "search", 4000, 2) + "," +
+                     RouteJson("r-2", "/read/", "idempotent", "records", 4000, 2),
+                 ServiceJson("search", 3.0, 0.0) + "," + ServiceJson("records", 3.0, 0.0)));
+  std::atomic<std::int64_t> silent_until{0};
+  std::mutex mutex;
+  std::set<std::string> read_at_sound_server;
+  std::vector<std::unique_ptr<replica>> replicas;
+  for (int i = 0; i < 8; ++i) {
+    const bool is_search = i < 4;
+    replicas.push_back(std::make_unique<replica>(
+        hosts.registry, replica::options{.service = is_search ? "search" : "records",
+                                         .work_ms = is_search ? 60 : 300,
+                                         .slots = 8}));
+    replicas.back()->OnRequest([&, is_search](replica&, connection&, message& request) {
+      while (is_search && NowMs() < silent_until) {
+        Sleep(20);
+      }
+      if (!is_search) {
+        const std::lock_guard lock(mutex);
+        read_at_sound_server.insert(request.Find("Attempt-Id"));
+      }
+      return false;
+    });
+    replicas.back()->Start();
+  }
+  if (!hosts.Start()) {
+    End(hosts, kCouldNotRun);
+  }
+  std::atomic<bool> is_stopping{false};
+  std::atomic<int> served{0};
+  std::atomic<int> failed{0};
+  std::atomic<int> lost{0};
+  const std::string body(kBodyBytes, 'x');
+  std::vector<std::thread> consumers;
+  const auto consume = [&](int number, int count, int per_s, bool is_search) {
+    const std::int64_t period_ms = 1000LL * count / per_s;
+    std::int64_t next = NowMs() + period_ms * number / count;
+    connection kept;
+    while (!is_stopping) {
+      if (NowMs() < next) {
+        Sleep(std::min<std::int64_t>(next - NowMs(), 100));
+        continue;
+      }
+      next = std::max(next + period_ms, NowMs());
+      const bool was_kept = kept.IsOpen() && !kept.IsClosedByPeer();
+      const outcome result =
+          is_search ? Ask(kept, host.callers, "POST", "/search/" + RandomHex(6), 4000, body)
+                    : Ask(kept, host.callers, "GET", "/read/" + RandomHex(6), 4000);
+      ++(result.status == 200 ? served : failed);
+      const std::lock_guard lock(mutex);
+      const bool is_lost =
+          !is_search && result.status == 0 && was_kept && read_at_sound_server.contains(result.id);
+      lost += is_lost ? 1 : 0;
+      Log().Line("consumer: " + std::string(is_search ? "search " : "read ") + result.id +
+                 " ends with " + std::to_string(result.status) + " after " +
+                 std::to_string(result.took_ms) + " ms" +
+                 (is_lost ? "; a sound server had it, and its kept connection is closed" : ""));
+    }
+  };
+  for (int i = 0; i < kSearchers; ++i) {
+    consumers.emplace_back([&, i] { consume(i, kSearchers, kSearchesPerS, true); });
+  }
+  for (int i = 0; i < kReaders; ++i) {
+    consumers.emplace_back([&, i] { consume(i, kReaders, kReadsPerS, false); });
+  }
+  const std::int64_t begin_ms = NowMs();
+  long most_kb = 0;
+  int ends = 0;
+  while (NowMs() < begin_ms + 20'000) {
+    if (HasTrouble() && silent_until == 0 && NowMs() > begin_ms + 8000) {
+      silent_until = NowMs() + kSilentMs;
+      Log().Result("the servers of the search service go silent; memory so far: " +
+                   std::to_string(most_kb) + " kB at most");
+    }
+    const long used_kb = host.ResidentKb();
+    most_kb = std::max(most_kb, used_kb);
+    if (used_kb > max_kb) {
+      ++ends;
+      Log().Result("host " + host.name() + " uses " + std::to_string(used_kb) + " kB of " +
+                   std::to_string(max_kb) + " kB and is ended by the platform");
+      host.Kill(SIGKILL);
+      Sleep(1000);
+      host.Start();
+    }
+    Sleep(10);
+  }
+  is_stopping = true;
+  for (std::thread& item : consumers) {
+    item.join();
+  }
+  Log().Result("requests: " + std::to_string(served.load()) + " served, " +
+               std::to_string(failed.load()) + " not; memory: " + std::to_string(most_kb) +
+               " kB at most; the process ended " + std::to_string(ends) + " times");
+  Log().Result("reads from kept connections that were at a sound server and got no answer: " +
+               std::to_string(lost.load()) + " (3 are allowed)");
+  End(hosts, lost > kAllowedLost ? kBroken : kHeld);
+}
+
 void Play(const std::string& name) {
-  if (name == "spoiled-answer") {
+  if (name == "memory") {
+    PlayMemory();
+  } else if (name == "spoiled-answer") {
     PlaySpoiledAnswer("non_idempotent");
   } else if (name == "spoiled-answer-idempotent") {
     PlaySpoiledAnswer("idempotent");
