Platform: the era of the store and refused loads are logged

Nothing read Store-Era, a load that is refused because it is as of an earlier revision looked like store_lost with status 200, and config_adopted did not name the store's revision.

New events 936 store_era_changed and 937 store_load_refused, new metric limpetlever_store_era, config_adopted names era and revision. No decision uses them yet.

--- a/src/liblimpetlever/control/control_listener.h
+++ b/src/liblimpetlever/control/control_listener.h
@@ -59,6 +59,11 @@
    * it is replaced.
    */
   virtual void OnWatchReplaced(std::int64_t revision, std::int64_t newest) = 0;
+  /**
+   * All keys were to be read again, and an answer was refused: it is as of `revision`, while all
+   * changes up to `known` were reported.
+   */
+  virtual void OnLoadRefused(std::int64_t revision, std::int64_t known) = 0;
   virtual void OnStoreHistoryLost(std::int64_t revision) = 0;
   /**
    * The store has answered a call after an earlier call was left without an answer. A watch that
--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -136,6 +136,10 @@
       return "watch_renewed";
     case event_number::source_chosen:
       return "source_chosen";
+    case event_number::store_era_changed:
+      return "store_era_changed";
+    case event_number::store_load_refused:
+      return "store_load_refused";
     case event_number::peer_state_changed:
       return "peer_state_changed";
     case event_number::log_lines_dropped:
@@ -212,6 +216,8 @@
       event_number::host_registered,
       event_number::watch_renewed,
       event_number::source_chosen,
+      event_number::store_era_changed,
+      event_number::store_load_refused,
       event_number::peer_state_changed,
       event_number::log_lines_dropped,
   };
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -79,6 +79,8 @@
   host_registered = 933,
   watch_renewed = 934,
   source_chosen = 935,
+  store_era_changed = 936,
+  store_load_refused = 937,
   peer_state_changed = 940,
   log_lines_dropped = 950,
 };
--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -68,6 +68,9 @@
                                     "Events whose handling ended with an exception")),
       store_reachable_(
           AddGauge(*registry_, "limpetlever_store_reachable", "1 while the store answers")),
+      store_era_(AddGauge(*registry_,
+                          "limpetlever_store_era",
+                          "Era of the store, which rises when it comes back from a copy")),
       store_revision_(AddGauge(*registry_,
                                "limpetlever_store_revision",
                                "Revision of the store up to which all changes are known")),
@@ -143,7 +146,8 @@
   store_reachable_.Set(is_reachable ? 1.0 : 0.0);
 }
 
-void node_metrics::SetStoreProgress(double revision, duration answer_age) {
+void node_metrics::SetStoreProgress(double era, double revision, duration answer_age) {
+  store_era_.Set(era);
   store_revision_.Set(revision);
   source_answer_age_.Set(std::chrono::duration<double>(answer_age).count());
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -43,10 +43,10 @@
   void OnUnexpectedError();
   void SetStoreReachable(bool is_reachable);
   /**
-   * The revision of the store up to which this host knows all changes, and the time since its
-   * source of changes, the store or a host that relays it, has last answered.
+   * The era of the store, the revision up to which this host knows all changes, and the time since
+   * its source of changes, the store or a host that relays it, has last answered.
    */
-  void SetStoreProgress(double revision, duration answer_age);
+  void SetStoreProgress(double era, double revision, duration answer_age);
   void SetConfigVersion(double version);
   /**
    * What the incomplete answers of backend servers take, and how many were given up since the start
@@ -79,6 +79,7 @@
   prometheus::Counter& entries_refused_;
   prometheus::Counter& unexpected_errors_;
   prometheus::Gauge& store_reachable_;
+  prometheus::Gauge& store_era_;
   prometheus::Gauge& store_revision_;
   prometheus::Gauge& source_answer_age_;
   prometheus::Gauge& config_version_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -167,6 +167,12 @@
                                       [this](const auto& caller) { HandleDirectory(caller); });
   }
   ApplySettings(settings_);
+  store_calls_.era.OnChanged([this](std::int64_t before, std::int64_t now) {
+    log_.Record(event_number::store_era_changed, {{"before", before},
+                                                  {"era", now},
+                                                  {"revision", feed_.revision()},
+                                                  {"source", CurrentSource()}});
+  });
   peers_.OnMembersChanged([this] { UpdateShares(); });
   peers_.OnCrashReport(
       [this](const crash_report& report) { query_.crashes().Merge(report, "peer"); });
@@ -383,7 +389,8 @@
 void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
   metrics_.SetDroppedLogLines(static_cast<double>(log_.dropped()));
   metrics_.SetStoreReachable(feed_.revision() > 0 && feed_.IsStoreReachable());
-  metrics_.SetStoreProgress(static_cast<double>(feed_.revision()),
+  metrics_.SetStoreProgress(static_cast<double>(store_calls_.era.current()),
+                            static_cast<double>(feed_.revision()),
                             loop_.Now() - feed_.last_answer());
   metrics_.SetAnswerMemory(static_cast<double>(pools_.answer_memory().held_bytes()),
                            static_cast<double>(pools_.answer_memory().reclaimed_count()));
@@ -481,7 +488,9 @@
   log_.Record(event_number::config_adopted, {{"version", table->version()},
                                              {"before", current ? current->version() : 0},
                                              {"routes", table->routes().size()},
-                                             {"source", CurrentSource()}});
+                                             {"source", CurrentSource()},
+                                             {"era", store_calls_.era.current()},
+                                             {"revision", feed_.revision()}});
   metrics_.SetConfigVersion(static_cast<double>(table->version()));
   callers_.SetLimits(table->limits());
   query_.SetRouteTable(std::move(table));
@@ -594,6 +603,13 @@
               {{"revision", revision}, {"newest", newest}, {"cause", "store"}});
 }
 
+void node_server::OnLoadRefused(std::int64_t revision, std::int64_t known) {
+  log_.Record(event_number::store_load_refused, {{"revision", revision},
+                                                 {"known", known},
+                                                 {"era", store_calls_.era.current()},
+                                                 {"source", CurrentSource()}});
+}
+
 void node_server::OnStoreHistoryLost(std::int64_t revision) {
   log_.Record(event_number::store_history_lost, {{"revision", revision}});
 }
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -113,6 +113,7 @@
   void OnStoreRegained(duration outage) override;
   void OnSourceFailed(int status) override;
   void OnWatchReplaced(std::int64_t revision, std::int64_t newest) override;
+  void OnLoadRefused(std::int64_t revision, std::int64_t known) override;
   void OnStoreHistoryLost(std::int64_t revision) override;
   void OnStoreResponsive() override;
   void OnCaughtUp() override;
--- a/tests/platform/test_control_feed.cc
+++ b/tests/platform/test_control_feed.cc
@@ -48,6 +48,7 @@
   void OnStoreLost(int) override {}
   void OnSourceFailed(int) override {}
   void OnWatchReplaced(std::int64_t, std::int64_t) override { ++watches_replaced; }
+  void OnLoadRefused(std::int64_t, std::int64_t) override {}
   void OnStoreHistoryLost(std::int64_t) override {}
   void OnStoreResponsive() override {}
   void OnCaughtUp() override {}
