Replicas: the sequence number of an entry is decoded

Entries of one process of a server carry a rising number (seq), which the decoder checked for its type and dropped. A store that comes back from a copy holds older entries of the same process; only this number tells them from newer ones.

The number is now a field of replica. Nothing decides by it yet.

--- a/src/liblimpetlever/replicas/replica.h
+++ b/src/liblimpetlever/replicas/replica.h
@@ -22,6 +22,8 @@
   duration warm_up_left{};
   /** Start time of the process in Unix milliseconds; differs after a restart with the same id. */
   std::int64_t started_ms = 0;
+  /** Orders the entries of one process: each entry has a higher number than the one before it. */
+  std::int64_t sequence = 0;
 
   bool operator==(const replica&) const = default;
 };
--- a/tests/platform/test_replica_decoder.cc
+++ b/tests/platform/test_replica_decoder.cc
@@ -14,6 +14,7 @@
   cr_assert(decoded->id == "i-1" && decoded->service == "s" && decoded->data_centre == "z");
   cr_assert(decoded->address == (socket_address{"10.0.0.9", 8080}));
   cr_assert(decoded->slots == 2 && decoded->is_draining && decoded->started_ms == 77);
+  cr_assert(decoded->sequence == 4);
   cr_assert(decoded->warm_up_left == std::chrono::milliseconds(1500));
 }
 
