Platform: tests of a store that comes back from a copy

After the store has come back from a copy, hosts refuse its loads while its revisions are below theirs, drop changes of a key whose revision is below the known one, and renew or end leases that may be another host's.

test_store_copies.cc has a test for each of these failures and for the opposite ones (a server or a data centre that is let go too soon).

--- a/tests/platform/loop_fixture.h
+++ b/tests/platform/loop_fixture.h
@@ -51,6 +51,17 @@
     cr_assert(!has_timed_out, "the condition did not hold within 60 s");
   }
 
+  void RunFor(duration time) {
+    const instant end = loop.UpdateNow() + time;
+    RunUntil([this, end] { return loop.Now() >= end; });
+  }
+  /** Runs the loop until `condition` holds, for `time` at most; returns whether it holds. */
+  bool HoldsWithin(duration time, const std::function<bool()>& condition) {
+    const instant end = loop.UpdateNow() + time;
+    RunUntil([&] { return condition() || loop.Now() >= end; });
+    return condition();
+  }
+
   event_loop loop;
   platform::platform_store store;
   platform::store_call_history counts;
--- a/tests/platform/slow_link.h
+++ b/tests/platform/slow_link.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/event_loop.h"
@@ -38,6 +39,11 @@
   ~slow_link() override { loop_.timers().Cancel(timer_); }
 
   const socket_address& address() const { return address_; }
+  /** From now on `text` in the answers, which must arrive in one piece, is replaced. */
+  void ReplaceInAnswers(std::string text, std::string by) {
+    replaced_ = std::move(text);
+    replacement_ = std::move(by);
+  }
   /** Bytes passed on to callers. */
   std::size_t forwarded() const { return forwarded_; }
   /** Bytes that wait to be passed on. */
@@ -79,7 +85,11 @@
     pair->from_caller.on_bytes = [raw = pair.get()](std::string_view bytes) {
       raw->target->Write(bytes);
     };
-    pair->from_target.on_bytes = [raw = pair.get()](std::string_view bytes) { raw->held += bytes; };
+    pair->from_target.on_bytes = [this, raw = pair.get()](std::string_view bytes) {
+      std::string passed(bytes);
+      const std::size_t at = replaced_.empty() ? passed.npos : passed.find(replaced_);
+      raw->held += at == passed.npos ? passed : passed.replace(at, replaced_.size(), replacement_);
+    };
     pair->caller =
         std::make_unique<stream_socket>(loop_, std::move(accepted), false, pair->from_caller);
     pair->target = std::make_unique<stream_socket>(loop_, std::move(BeginConnect(target_).value()),
@@ -108,6 +118,8 @@
   socket_address address_;
   std::vector<std::unique_ptr<connection_pair>> pairs_;
   std::size_t forwarded_ = 0;
+  std::string replaced_;
+  std::string replacement_;
   timer_service::timer_id timer_ = 0;
 };
 
--- /dev/null
+++ b/tests/platform/test_store_copies.cc
@@ -0,0 +1,643 @@
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "feed_fixture.h"
+#include "limits/crash_report.h"
+#include "platform/crash_report_writer.h"
+#include "platform/host_registration.h"
+#include "platform/replica_decoder.h"
+#include "replicas/admission.h"
+#include "replicas/replica_record.h"
+#include "replicas/replica_registry.h"
+#include "slow_link.h"
+
+using namespace limpetlever;
+using platform::platform_store;
+
+namespace {
+
+// A live server whose entry the copy lacks registers again within this time.
+constexpr duration kReregistrationTime = std::chrono::milliseconds(2300);
+// Within this time a host has replaced what it had written.
+constexpr duration kRewriteBound = std::chrono::seconds(5);
+constexpr duration kShortOutage = std::chrono::milliseconds(800);
+// More than were made between the copy and the outage, so that the host's old revision is passed.
+constexpr int kManyWrites = 60;
+constexpr int kWritesAfterCopy = 20;
+
+std::string Config(int version) {
+  return "{\"version\":" + std::to_string(version) +
+         R"(,"routes":[],"services":[],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,)"
+         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+}
+
+std::string Server(int sequence, const std::string& state = "ready", int started = 1) {
+  return R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"1","slots":2,"state":")" +
+         state + R"(","warmupLeftMs":0,"seq":)" + std::to_string(sequence) +
+         ",\"born\":" + std::to_string(started) + "}";
+}
+
+/**
+ * The store's copy holds version 1 and the servers i1 and i2. Since then version 2, later entries
+ * of both, the server i3 and an evacuation were written, which the host has applied.
+ */
+struct copy_fixture : host_pair {
+  explicit copy_fixture(bool is_relaying = false) {
+    store.SetEra(1);
+    store.Write("op/config", Config(1));
+    store.Write("servers/i1", Server(1));
+    store.Write("servers/i2", Server(1));
+    store.TakeCopy();
+    WriteOthers(kWritesAfterCopy);
+    store.Write("op/config", Config(2));
+    store.Write("op/evacuate/z", "1");
+    store.Write("servers/i1", Server(2));
+    store.Write("servers/i2", Server(2));
+    store.Write("servers/i3", Server(1));
+    feed.Start();
+    RunUntil([this] { return recorded.HasVersion(2) && recorded.replicas.size() == 3; });
+    if (is_relaying) {
+      feed.SetRelaying(true);
+    }
+    // The first watches of a host are some seconds apart.
+    RunUntil([this] { return store.CallCount("/kv-watch") == 1; });
+    WriteOthers(1);
+    RunUntil([this] { return store.CallCount("/kv-watch") == 2; });
+    RunFor(std::chrono::milliseconds(100));
+  }
+
+  void WriteOthers(int count) {
+    for (int i = 0; i < count; ++i) {
+      store.Write("other", std::to_string(++others));
+    }
+  }
+
+  /** The store is away for `outage` and comes back from its copy. */
+  void ComeBack(duration outage = kShortOutage) {
+    store.SetMode(platform_store::mode_type::silent);
+    RunFor(outage);
+    store.ReturnFromCopy();
+    store.SetMode(platform_store::mode_type::normal);
+    returned = loop.UpdateNow();
+  }
+
+  /** As ComeBack(), and revisions have passed the host's before its first call: it gets no 410. */
+  void ComeBackAndPass(const std::string& key, std::string value) {
+    ComeBack();
+    store.Write(key, std::move(value));
+    WriteOthers(kManyWrites);
+  }
+
+  /** The watch has just been answered and waits again: no check of the revision is due soon. */
+  void AwaitNextWatch() {
+    const int watches = store.CallCount("/kv-watch");
+    WriteOthers(1);
+    RunUntil([&] { return store.CallCount("/kv-watch") > watches; });
+  }
+
+  /** Runs until this long after the store was back. */
+  void RunUntilAfterReturn(duration time) { RunFor(returned + time - loop.UpdateNow()); }
+
+  bool HasVersionInTime(const feed_recorder& host, std::int64_t version) {
+    return HoldsWithin(kChangeBound, [&] { return host.HasVersion(version); });
+  }
+
+  /** Another call of the process whose history is `process` meets the present era. */
+  void MeetEra(platform::store_call_history& process) {
+    platform::store_client client(loop, store.address(), process);
+    client.ReadRange("none/", "", false, [](const platform::store_reply&) {});
+    RunUntil([&] { return process.era.current() == store.era(); });
+  }
+
+  /** The server i9 is written, which only the present era knows, and reported to no watch. */
+  void WriteUnnoticed() {
+    store.SetMode(platform_store::mode_type::silent);
+    store.Write("servers/i9", Server(1));
+    store.SetMode(platform_store::mode_type::normal);
+  }
+
+  int others = 0;
+  instant returned;
+};
+
+/** Registers the host of a copy_fixture. */
+struct registration_fixture : copy_fixture {
+  registration_fixture() : registration(loop, store.address(), counts, 3, recorded) {}
+
+  void Register() {
+    registration.Start("h1", "text");
+    RunUntil([this] { return recorded.registered == 1; });
+  }
+
+  bool HasOwnLease(std::int64_t old_lease) const {
+    const std::int64_t lease = store.LeaseOf("hosts/h1");
+    return store.items().contains("hosts/h1") && lease > old_lease;
+  }
+
+  platform::host_registration registration;
+};
+
+/** The store, seen through a link on which the fields of its answers can be replaced. */
+struct era_field_fixture : loop_fixture {
+  era_field_fixture()
+      : link(loop, store.address(), 100 * 1024 * 1024),
+        feed(loop, link.address(), counts, ListenOnFreePort(relay_address), 1, recorded) {
+    store.SetEra(1);
+    store.Write("op/config", Config(1));
+    feed.Start();
+    RunUntil([this] { return store.CallCount("/kv-watch") == 1; });
+    store.Write("other", "a change that answers the first watch");
+    RunUntil([this] { return store.CallCount("/kv-watch") == 2; });
+  }
+
+  feed_recorder recorded;
+  socket_address relay_address;
+  slow_link link;
+  platform::control_feed feed;
+};
+
+/** As a host does it with each entry that its feed reports. */
+void ApplyEntry(replica_registry& registry, const std::string& text, instant now) {
+  const auto decoded = platform::DecodeReplica("i1", text);
+  cr_assert(decoded);
+  if (!registry.HoldBack(*decoded, now)) {
+    registry.Put(*decoded, now);
+  }
+}
+
+bool IsInUse(const replica_registry& registry) {
+  const auto record = registry.Find("i1");
+  return record && IsUsable(*record);
+}
+
+/** As a host does it from time to time, here some heartbeats later. */
+void ApplyLastingEntries(replica_registry& registry, instant now) {
+  for (const replica& lasting : registry.TakeLastingEntries(now + std::chrono::seconds(6))) {
+    registry.Put(lasting, now + std::chrono::seconds(6));
+  }
+}
+
+constexpr instant kNow{std::chrono::seconds(5)};
+
+}  // namespace
+
+// Guards against a host that refuses all loads since the store came back: its revision is lower.
+Test(store_copies, a_version_is_applied_after_a_410) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.store.Write("op/config", Config(3));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a host that watches from its old revision, which the store has given out again.
+Test(store_copies, a_version_is_applied_without_a_410) {
+  copy_fixture fixture;
+  fixture.ComeBackAndPass("op/config", Config(3));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a host that only recovers once other writes have passed its old revision.
+Test(store_copies, a_version_is_applied_while_other_writes_go_on) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.store.Write("op/config", Config(3));
+  const auto writes = fixture.loop.timers().SubscribeEvery(
+      fixture.loop.Now(), std::chrono::milliseconds(50), [&](instant) { fixture.WriteOthers(1); });
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+  fixture.loop.timers().Cancel(writes);
+}
+
+// Guards against a host that takes only a rise by one for a new era.
+Test(store_copies, a_version_is_applied_when_the_era_has_risen_twice) {
+  copy_fixture fixture;
+  fixture.store.SetMode(platform_store::mode_type::silent);
+  fixture.store.ReturnFromCopy();
+  fixture.WriteOthers(kManyWrites);
+  fixture.ComeBackAndPass("op/config", Config(3));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a second return that is missed because the first one is still being handled.
+Test(store_copies, a_version_is_applied_when_the_era_rises_during_recovery) {
+  copy_fixture fixture;
+  fixture.ComeBackAndPass("op/config", Config(4));
+  fixture.RunUntil([&] { return fixture.counts.era.current() == 2; });
+  fixture.store.ReturnFromCopy();
+  fixture.store.Write("op/config", Config(3));
+  cr_assert(fixture.HoldsWithin(kChangeBound, [&] {
+    return fixture.counts.era.current() == 3 && fixture.feed.revision() == fixture.store.revision();
+  }));
+  fixture.store.Write("op/config", Config(5));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 5));
+}
+
+// Guards against pages of two eras in one load, whose revision is that of the older one.
+Test(store_copies, a_version_is_applied_when_the_era_rises_between_pages) {
+  for (const int writes : {0, 4 * kManyWrites}) {
+    host_pair fixture;
+    fixture.store.SetEra(1);
+    fixture.store.Write("op/config", Config(1));
+    for (int i = 100; i < 250; ++i) {
+      fixture.store.Write("servers/i" + std::to_string(i), kServer);
+    }
+    fixture.store.TakeCopy();
+    for (int i = 0; i < kWritesAfterCopy; ++i) {
+      fixture.store.Write("other", std::to_string(i));
+    }
+    fixture.store.Write("op/config", Config(2));
+    fixture.recorded.on_replica_changed = [&](const std::string& id) {
+      if (id == "i170" && fixture.store.era() == 1) {
+        fixture.store.ReturnFromCopy();
+        fixture.store.Write("op/config", Config(3));
+        for (int i = 0; i < writes; ++i) {
+          fixture.store.Write("other", std::to_string(i));
+        }
+      }
+    };
+    fixture.feed.Start();
+    cr_assert(fixture.HoldsWithin(kChangeBound, [&] { return fixture.recorded.HasVersion(3); }),
+              "%d further writes", writes);
+  }
+}
+
+// Guards against a watch that waits at a store which came back without it.
+Test(store_copies, a_version_is_applied_when_the_store_returns_during_a_watch) {
+  copy_fixture fixture;
+  fixture.ComeBack(duration::zero());
+  fixture.store.Write("op/config", Config(3));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a watch whose answer names the new era as the first one and is only applied.
+Test(store_copies, a_version_is_applied_when_the_watch_meets_the_era) {
+  copy_fixture fixture;
+  fixture.AwaitNextWatch();
+  const auto loads = fixture.counts.Of(platform::store_call::load);
+  fixture.ComeBack(duration::zero());
+  fixture.store.Write("op/config", Config(3));
+  fixture.WriteOthers(kManyWrites);
+  fixture.feed.RestartWatch();
+  fixture.RunUntil([&] { return fixture.counts.era.current() == 2; });
+  cr_assert(fixture.counts.Of(platform::store_call::load) == loads);
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a new era that only the registration of the host has met.
+Test(store_copies, a_version_is_applied_when_the_registration_meets_the_era) {
+  registration_fixture fixture;
+  fixture.Register();
+  fixture.AwaitNextWatch();
+  // It calls the store only if that has not answered within the last second.
+  fixture.RunFor(std::chrono::milliseconds(250));
+  fixture.store.ReturnFromCopy();
+  fixture.returned = fixture.loop.UpdateNow();
+  fixture.store.Write("op/config", Config(3));
+  const int reads = fixture.store.CallCount("/kv-range") + fixture.store.CallCount("/kv-watch");
+  const int renewals = fixture.store.CallCount("/kv-keep");
+  fixture.registration.CheckStore();
+  fixture.RunUntil([&] { return fixture.counts.era.current() == 2; });
+  cr_assert(fixture.store.CallCount("/kv-keep") > renewals);
+  cr_assert(fixture.store.CallCount("/kv-range") + fixture.store.CallCount("/kv-watch") == reads);
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a new era that only a read which may be stale has met.
+Test(store_copies, a_version_is_applied_when_a_stale_read_meets_the_era) {
+  copy_fixture fixture;
+  fixture.feed.SetDirectHosts(64);
+  fixture.ComeBack(duration::zero());
+  fixture.store.Write("op/config", Config(3));
+  const auto stale = fixture.counts.Of(platform::store_call::stale_load);
+  const auto loads = fixture.counts.Of(platform::store_call::load);
+  fixture.RunUntil([&] { return fixture.counts.era.current() == 2; });
+  cr_assert(fixture.counts.Of(platform::store_call::stale_load) > stale);
+  cr_assert(fixture.counts.Of(platform::store_call::load) == loads);
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against a report of a draining server that is dropped, since its revision is given out
+// again.
+Test(store_copies, a_server_that_drains_at_a_lower_revision_is_reported) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.store.Write("servers/i1", Server(3, "draining"));
+  cr_assert(fixture.HoldsWithin(kChangeBound,
+                                [&] { return fixture.recorded.entries["i1"].is_draining; }));
+}
+
+// Guards against the same, where the host gets no 410.
+Test(store_copies, a_server_that_drains_is_reported_without_a_410) {
+  copy_fixture fixture;
+  fixture.ComeBackAndPass("servers/i1", Server(3, "draining"));
+  cr_assert(fixture.HoldsWithin(kChangeBound,
+                                [&] { return fixture.recorded.entries["i1"].is_draining; }));
+}
+
+// Guards against a removal that is dropped, since its revision is below that of the known entry.
+Test(store_copies, a_removal_at_a_lower_revision_is_reported) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.store.Remove("servers/i2");
+  cr_assert(fixture.HoldsWithin(kReregistrationTime + kChangeBound,
+                                [&] { return !fixture.recorded.replicas.contains("i2"); }));
+}
+
+// Guards against the same, where the host gets no 410.
+Test(store_copies, a_removal_is_reported_without_a_410) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.store.Remove("servers/i2");
+  fixture.WriteOthers(kManyWrites);
+  cr_assert(fixture.HoldsWithin(kReregistrationTime + kChangeBound,
+                                [&] { return !fixture.recorded.replicas.contains("i2"); }));
+}
+
+// Guards against changes of the older era that arrive after the new one is known.
+Test(store_copies, a_late_answer_to_a_watch_of_the_older_era_is_dropped) {
+  copy_fixture fixture;
+  fixture.WriteUnnoticed();
+  fixture.store.HoldReads();
+  fixture.feed.RestartWatch();
+  fixture.RunUntil([&] { return fixture.store.HeldReads() == 1; });
+  fixture.store.ReturnFromCopy();
+  fixture.store.Write("op/config", Config(3));
+  fixture.MeetEra(fixture.counts);
+  fixture.store.ReleaseReads();
+  fixture.RunFor(std::chrono::milliseconds(200));
+  cr_assert(!fixture.recorded.seen.contains("i9"));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3) && !fixture.recorded.seen.contains("i9"));
+}
+
+// Guards against a page of the older era that arrives after the new one is known.
+Test(store_copies, a_late_page_of_the_older_era_is_dropped) {
+  copy_fixture fixture;
+  fixture.WriteUnnoticed();
+  fixture.store.HoldReads();
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.store.HeldReads() == 1; });
+  fixture.store.ReturnFromCopy();
+  fixture.store.Write("op/config", Config(3));
+  fixture.MeetEra(fixture.follower_counts);
+  fixture.store.ReleaseReads();
+  fixture.RunFor(std::chrono::milliseconds(200));
+  cr_assert(!fixture.follower_recorded.seen.contains("i9"));
+  cr_assert(fixture.HasVersionInTime(fixture.follower_recorded, 3) &&
+            !fixture.follower_recorded.seen.contains("i9"));
+}
+
+// Guards against a relay that is cut off from the store and still reports the older era.
+Test(store_copies, changes_of_a_relay_of_the_older_era_are_dropped) {
+  copy_fixture fixture;
+  platform_store old_relay(fixture.loop);
+  old_relay.SetEra(1);
+  old_relay.Write("op/config", Config(2));
+  fixture.follower.SetSource(old_relay.address());
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return old_relay.CallCount("/kv-watch") == 1; });
+  fixture.store.ReturnFromCopy();
+  fixture.store.Write("op/config", Config(3));
+  fixture.MeetEra(fixture.follower_counts);
+  old_relay.Write("servers/i9", Server(1));
+  fixture.RunFor(std::chrono::milliseconds(200));
+  cr_assert(!fixture.follower_recorded.seen.contains("i9"));
+  cr_assert(
+      fixture.HoldsWithin(kChangeBound, [&] { return fixture.follower_recorded.failures > 0; }));
+  fixture.follower.SetSource(std::nullopt);
+  cr_assert(fixture.HasVersionInTime(fixture.follower_recorded, 3));
+  cr_assert(!fixture.follower_recorded.seen.contains("i9"));
+}
+
+// Guards against a relay that keeps the new era, and what changed in it, from its followers.
+Test(store_copies, followers_of_a_relay_read_everything_again) {
+  copy_fixture fixture(true);
+  fixture.follower.SetSource(fixture.relay_address);
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.follower_recorded.HasVersion(2); });
+  fixture.RunFor(std::chrono::milliseconds(1700));
+  fixture.ComeBackAndPass("op/config", Config(3));
+  cr_assert(fixture.HasVersionInTime(fixture.follower_recorded, 3));
+  cr_assert(fixture.follower_counts.era.current() == 2);
+}
+
+// Guards against a relay that serves keys which only the older era had.
+Test(store_copies, a_relay_serves_no_key_of_the_older_era) {
+  copy_fixture fixture(true);
+  fixture.ComeBackAndPass("op/config", Config(3));
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+  fixture.follower.SetSource(fixture.relay_address);
+  fixture.follower.Start();
+  cr_assert(fixture.HasVersionInTime(fixture.follower_recorded, 3));
+  cr_assert(!fixture.follower_recorded.seen.contains("i3"));
+}
+
+// Guards against a host that needs the field: a store that names no era is followed as before.
+Test(store_copies, answers_without_an_era_are_used) {
+  feed_fixture fixture;
+  fixture.store.Write("op/config", Config(1));
+  cr_assert(fixture.HoldsWithin(kChangeBound, [&] { return fixture.recorded.HasVersion(1); }));
+  cr_assert(fixture.counts.era.current() == 0);
+}
+
+// Guards against a malformed field that is taken for a new or an older era, or loses the answer.
+Test(store_copies, answers_with_a_malformed_era_are_used) {
+  era_field_fixture fixture;
+  int version = 1;
+  for (const char* text : {"", "-1", "0", "2.5", "x2", "2 3", "99999999999999999999"}) {
+    fixture.link.ReplaceInAnswers("Store-Era: 1\r\n", "Store-Era: " + std::string(text) + "\r\n");
+    fixture.store.Write("op/config", Config(++version));
+    cr_assert(
+        fixture.HoldsWithin(kChangeBound, [&] { return fixture.recorded.HasVersion(version); }),
+        "%s", text);
+    cr_assert(fixture.counts.era.current() == 1, "%s", text);
+  }
+}
+
+// Guards against a store without the field whose loads are refused for ever: its revision is lower.
+Test(store_copies, a_store_without_an_era_is_followed_from_a_lower_revision) {
+  feed_fixture fixture;
+  fixture.store.TakeCopy();
+  for (int i = 0; i < kWritesAfterCopy; ++i) {
+    fixture.store.Write("other", std::to_string(i));
+  }
+  fixture.RunUntil([&] { return fixture.feed.revision() == fixture.store.revision(); });
+  fixture.store.ReturnFromCopy();
+  fixture.store.SetEra(0);
+  fixture.store.Write("op/config", Config(1));
+  fixture.feed.RestartWatch();
+  cr_assert(fixture.HoldsWithin(kChangeBound, [&] { return fixture.recorded.HasVersion(1); }));
+}
+
+// Guards against a live server that gets no requests since its entry is missing from the copy.
+Test(store_copies, a_live_server_that_the_copy_lacks_stays_in_use) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(2000));
+  cr_assert(fixture.recorded.removals == 0);
+  fixture.store.Write("servers/i3", Server(2));
+  fixture.RunUntilAfterReturn(kReregistrationTime + std::chrono::seconds(2));
+  cr_assert(fixture.recorded.removals == 0);
+}
+
+// Guards against the same on a host that follows a relay.
+Test(store_copies, a_follower_keeps_a_live_server_that_the_copy_lacks) {
+  copy_fixture fixture(true);
+  fixture.follower.SetSource(fixture.relay_address);
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.follower_recorded.replicas.contains("i3"); });
+  fixture.ComeBack();
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(2000));
+  cr_assert(fixture.follower_recorded.removals == 0);
+  fixture.store.Write("servers/i3", Server(2));
+  fixture.RunUntilAfterReturn(kReregistrationTime + std::chrono::seconds(1));
+  cr_assert(fixture.follower_recorded.removals == 0);
+}
+
+// Guards against a server that has gone and is kept for ever since no removal is reported.
+Test(store_copies, a_server_that_stays_missing_is_removed) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.RunUntilAfterReturn(kReregistrationTime - std::chrono::milliseconds(50));
+  cr_assert(fixture.recorded.removals == 0);
+  cr_assert(
+      fixture.HoldsWithin(kChangeBound, [&] { return !fixture.recorded.replicas.contains("i3"); }));
+}
+
+// Guards against requests to a server that drains, brought back by an older entry of its process.
+Test(store_copies, an_older_entry_does_not_undo_draining) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7, "draining"), kNow);
+  ApplyEntry(registry, Server(6), kNow);
+  cr_assert(!IsInUse(registry));
+  ApplyLastingEntries(registry, kNow);
+  cr_assert(!IsInUse(registry));
+}
+
+// Guards against requests to a server that was removed, brought back by an older entry.
+Test(store_copies, an_older_entry_does_not_undo_a_removal) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7), kNow);
+  registry.Remove("i1", kNow);
+  ApplyEntry(registry, Server(6), kNow);
+  cr_assert(!IsInUse(registry));
+  ApplyLastingEntries(registry, kNow);
+  cr_assert(!IsInUse(registry));
+}
+
+// Guards against an order that is kept only against the last entry applied, not the newest seen.
+Test(store_copies, an_older_entry_does_not_lower_the_newest_sequence) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7), kNow);
+  ApplyEntry(registry, Server(5), kNow);
+  registry.Remove("i1", kNow);
+  ApplyEntry(registry, Server(6), kNow);
+  cr_assert(!IsInUse(registry));
+}
+
+// Guards against a live server that stays out of use after it has registered again.
+Test(store_copies, a_later_entry_of_the_same_process_is_used) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7, "draining"), kNow);
+  ApplyEntry(registry, Server(6), kNow);
+  ApplyEntry(registry, Server(8), kNow);
+  cr_assert(IsInUse(registry));
+  registry.Remove("i1", kNow);
+  ApplyEntry(registry, Server(9), kNow);
+  cr_assert(IsInUse(registry));
+}
+
+// Guards against a restarted server that is refused, since its sequence starts anew.
+Test(store_copies, a_lower_sequence_of_a_later_process_is_used) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7, "draining"), kNow);
+  ApplyEntry(registry, Server(1, "ready", 2), kNow);
+  cr_assert(IsInUse(registry));
+}
+
+// Guards against requests to a data centre that is out, since the copy is older than that.
+Test(store_copies, a_data_centre_that_was_taken_out_stays_out) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(2000));
+  cr_assert(fixture.recorded.returns == 0 && fixture.recorded.taken_out.contains("z"));
+  fixture.store.Write("op/evacuate/z", "1");
+  fixture.RunUntilAfterReturn(kReregistrationTime + std::chrono::seconds(2));
+  cr_assert(fixture.recorded.returns == 0 && fixture.recorded.taken_out.contains("z"));
+}
+
+// Guards against a data centre that is out for ever, since its return was made in the older era.
+Test(store_copies, a_data_centre_whose_key_stays_missing_is_back) {
+  copy_fixture fixture;
+  fixture.ComeBack();
+  fixture.RunUntilAfterReturn(kReregistrationTime - std::chrono::milliseconds(50));
+  cr_assert(fixture.recorded.taken_out.contains("z"));
+  cr_assert(fixture.HoldsWithin(kChangeBound, [&] { return fixture.recorded.taken_out.empty(); }));
+}
+
+// Guards against a host that no other can find: its entry is missing from the copy.
+Test(store_copies, a_host_registers_again) {
+  registration_fixture fixture;
+  fixture.Register();
+  const std::int64_t lease = fixture.store.LeaseOf("hosts/h1");
+  fixture.ComeBack();
+  cr_assert(fixture.store.GrantLease() == lease, "another host has the lease now");
+  cr_assert(fixture.HoldsWithin(kRewriteBound, [&] { return fixture.HasOwnLease(lease); }));
+}
+
+// Guards against an entry under a lease of the older era, which may be another host's now.
+Test(store_copies, a_host_that_the_copy_lists_takes_a_new_lease) {
+  registration_fixture fixture;
+  fixture.Register();
+  fixture.store.TakeCopy();
+  const std::int64_t lease = fixture.store.LeaseOf("hosts/h1");
+  fixture.ComeBack();
+  cr_assert(fixture.HoldsWithin(kRewriteBound, [&] { return fixture.HasOwnLease(lease); }));
+}
+
+// Guards against a lease of another host that is renewed, so that its entry outlives that host.
+Test(store_copies, a_lease_of_an_older_era_is_not_renewed) {
+  registration_fixture fixture;
+  fixture.Register();
+  const std::int64_t lease = fixture.store.LeaseOf("hosts/h1");
+  fixture.ComeBack(duration::zero());
+  cr_assert(fixture.store.GrantLease() == lease, "another host has the lease now");
+  fixture.MeetEra(fixture.counts);
+  const int renewals = fixture.store.RenewalCount(lease);
+  fixture.RunFor(std::chrono::seconds(3));
+  cr_assert(fixture.store.RenewalCount(lease) == renewals);
+}
+
+// Guards against a host that takes another one out of the list when it leaves.
+Test(store_copies, a_lease_of_an_older_era_is_not_revoked) {
+  registration_fixture fixture;
+  fixture.Register();
+  const std::int64_t lease = fixture.store.LeaseOf("hosts/h1");
+  fixture.ComeBack(duration::zero());
+  cr_assert(fixture.store.GrantLease() == lease, "another host has the lease now");
+  bool has_left = false;
+  platform::store_client client(fixture.loop, fixture.store.address(), fixture.counts);
+  client.ReadRange("none/", "", false, [&](const platform::store_reply&) {
+    fixture.registration.Leave();
+    has_left = true;
+  });
+  fixture.RunUntil([&] { return has_left; });
+  fixture.RunFor(std::chrono::seconds(1));
+  cr_assert(fixture.store.HasLease(lease));
+}
+
+// Guards against a request that crashes servers again, since the reports on it are lost.
+Test(store_copies, crash_reports_are_written_again) {
+  loop_fixture fixture;
+  fixture.store.SetEra(1);
+  platform::crash_report_writer writer(fixture.loop, fixture.store.address(), fixture.counts, 1);
+  fixture.store.TakeCopy();
+  for (const std::uint64_t fingerprint : {1, 2, 3}) {
+    writer.Write(ToGossipEntry({.fingerprint = fingerprint, .server = "s", .at = ReadWallClock()}));
+  }
+  fixture.RunUntil([&] { return fixture.store.items().size() == 3; });
+  fixture.store.ReturnFromCopy();
+  cr_assert(fixture.store.items().empty());
+  platform::store_client client(fixture.loop, fixture.store.address(), fixture.counts);
+  client.ReadRange("none/", "", false, [](const platform::store_reply&) {});
+  cr_assert(fixture.HoldsWithin(kRewriteBound, [&] { return fixture.store.items().size() == 3; }));
+}
