Platform: answers belong to a history of the store, which its era names

Callers saw: after the store came back from a copy, no host of the fleet applied what was confirmed then. Routes that had been added got 404, routes that had moved went to their old service, and servers that drained got requests.

Cause: news was ordered by revision alone. The store gives revisions out again after it comes back from a copy, so that a host refused each load whose revision was below the one that it knew, and dropped each change of a key whose revision was below the known one of that key. Nothing read Store-Era.

--- a/src/liblimpetlever/control/control_listener.h
+++ b/src/liblimpetlever/control/control_listener.h
@@ -64,6 +64,11 @@
    * changes up to `known` were reported.
    */
   virtual void OnLoadRefused(std::int64_t revision, std::int64_t known) = 0;
+  /**
+   * The store has come back from a copy, in its era `era`; `known` is the revision that this host
+   * knew of the history before. All keys are read again.
+   */
+  virtual void OnStoreHistoryBegun(std::int64_t era, std::int64_t known) = 0;
   virtual void OnStoreHistoryLost(std::int64_t revision) = 0;
   /**
    * The store has answered a call after an earlier call was left without an answer. A watch that
--- a/src/liblimpetlever/membership/peer_message.cc
+++ b/src/liblimpetlever/membership/peer_message.cc
@@ -4,6 +4,7 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/bounded_number.h"
@@ -15,11 +16,23 @@
 constexpr int kLastKind = static_cast<int>(peer_message::kind_type::update);
 constexpr rapidjson::SizeType kMessageFields = 5;
 constexpr rapidjson::SizeType kEntryFields = 4;
+// Key of an update that carries the era of the sender's position. Hosts of an earlier version
+// refuse a message with more fields, and ignore an update that they do not know.
+constexpr const char* kEraKey = "store-era";
 
 void WriteString(rapidjson::Writer<rapidjson::StringBuffer>& writer, const std::string& text) {
   writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
 }
 
+void WriteEntry(rapidjson::Writer<rapidjson::StringBuffer>& writer, const gossip_entry& entry) {
+  writer.StartArray();
+  WriteString(writer, entry.key);
+  writer.Int64(entry.incarnation);
+  writer.Int64(entry.version);
+  WriteString(writer, entry.value);
+  writer.EndArray();
+}
+
 std::optional<gossip_entry> ReadEntry(const rapidjson::Value& json) {
   if (!json.IsArray() || json.Size() != kEntryFields || !json[0].IsString() || !json[1].IsInt64() ||
       !json[2].IsInt64() || !json[3].IsString()) {
@@ -40,15 +53,13 @@
   writer.Int(static_cast<int>(message.kind));
   writer.Uint64(message.probe_id);
   WriteString(writer, message.target);
-  writer.Int64(message.revision);
+  writer.Int64(message.position.revision);
   writer.StartArray();
   for (const gossip_entry& entry : message.updates) {
-    writer.StartArray();
-    WriteString(writer, entry.key);
-    writer.Int64(entry.incarnation);
-    writer.Int64(entry.version);
-    WriteString(writer, entry.value);
-    writer.EndArray();
+    WriteEntry(writer, entry);
+  }
+  if (message.position.era > 0) {
+    WriteEntry(writer, {.key = kEraKey, .version = message.position.era});
   }
   writer.EndArray();
   writer.EndArray();
@@ -72,13 +83,17 @@
   peer_message message{.kind = static_cast<peer_message::kind_type>(kind),
                        .probe_id = document[1].GetUint64(),
                        .target = {document[2].GetString(), document[2].GetStringLength()},
-                       .revision = revision};
+                       .position = {.revision = revision}};
   for (const auto& json : document[4].GetArray()) {
     auto entry = ReadEntry(json);
     if (!entry) {
       return std::nullopt;
     }
-    message.updates.push_back(std::move(*entry));
+    if (entry->key == kEraKey) {
+      message.position.era = std::clamp<std::int64_t>(entry->version, 0, kMaxOutsideNumber);
+    } else {
+      message.updates.push_back(std::move(*entry));
+    }
   }
   return message;
 }
--- a/src/liblimpetlever/membership/peer_message.h
+++ b/src/liblimpetlever/membership/peer_message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/gossip_entry.h"
+#include "control/store_position.h"
 
 namespace limpetlever {
 
@@ -20,7 +21,7 @@
     ack,
     /** Asks the receiver to ping `target` and to pass its ack on to the sender. */
     relay,
-    /** Carries a revision and updates; not answered. */
+    /** Carries a position and updates; not answered. */
     update
   };
   kind_type kind = kind_type::update;
@@ -28,8 +29,8 @@
   std::uint64_t probe_id = 0;
   /** For relay: the peer address of the host to ping. */
   std::string target;
-  /** Revision of the key-value store up to which the sender has seen all changes. */
-  std::int64_t revision = 0;
+  /** The point of the key-value store's history up to which the sender has seen all changes. */
+  store_position position;
   std::vector<gossip_entry> updates;
 
   bool operator==(const peer_message&) const = default;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -167,12 +167,6 @@
                                       [this](const auto& caller) { HandleDirectory(caller); });
   }
   ApplySettings(settings_);
-  store_calls_.era.OnChanged([this](std::int64_t before, std::int64_t now) {
-    log_.Record(event_number::store_era_changed, {{"before", before},
-                                                  {"era", now},
-                                                  {"revision", feed_.revision()},
-                                                  {"source", CurrentSource()}});
-  });
   peers_.OnMembersChanged([this] { UpdateShares(); });
   peers_.OnCrashReport(
       [this](const crash_report& report) { query_.crashes().Merge(report, "peer"); });
@@ -303,7 +297,7 @@
   log_.Record(event_number::source_chosen, {{"source", CurrentSource()},
                                             {"before", before},
                                             {"cause", cause},
-                                            {"revision", feed_.revision()}});
+                                            {"revision", feed_.position().revision}});
   const auto host = std::find_if(members.begin(), members.end(),
                                  [&name](const member& item) { return item.name == name; });
   feed_.SetSource(host == members.end() ? std::nullopt : ParseSocketAddress(host->peer_address));
@@ -359,15 +353,15 @@
 }
 
 void node_server::CheckRevision() {
-  if (feed_.revision() != announced_revision_) {
-    announced_revision_ = feed_.revision();
-    peers_.SetRevision(announced_revision_);
+  if (feed_.position() != announced_position_) {
+    announced_position_ = feed_.position();
+    peers_.SetPosition(announced_position_);
     if (std::exchange(has_unannounced_config_, false)) {
-      peers_.AnnounceRevision();
+      peers_.AnnouncePosition();
     }
   } else if (peers_.IsBehind() && loop_.Now() - started_ >= kFirstSourceChoice) {
-    log_.Record(event_number::watch_renewed, {{"revision", announced_revision_},
-                                              {"newest", peers_.newest_peer_revision()},
+    log_.Record(event_number::watch_renewed, {{"revision", announced_position_.revision},
+                                              {"newest", peers_.newest_peer_position().revision},
                                               {"cause", "peers"}});
     if (source_.current().empty()) {
       feed_.RestartStaleWatch();
@@ -388,9 +382,9 @@
 
 void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
   metrics_.SetDroppedLogLines(static_cast<double>(log_.dropped()));
-  metrics_.SetStoreReachable(feed_.revision() > 0 && feed_.IsStoreReachable());
+  metrics_.SetStoreReachable(feed_.position().revision > 0 && feed_.IsStoreReachable());
   metrics_.SetStoreProgress(static_cast<double>(store_calls_.era.current()),
-                            static_cast<double>(feed_.revision()),
+                            static_cast<double>(feed_.position().revision),
                             loop_.Now() - feed_.last_answer());
   metrics_.SetAnswerMemory(static_cast<double>(pools_.answer_memory().held_bytes()),
                            static_cast<double>(pools_.answer_memory().reclaimed_count()));
@@ -490,7 +484,7 @@
                                              {"routes", table->routes().size()},
                                              {"source", CurrentSource()},
                                              {"era", store_calls_.era.current()},
-                                             {"revision", feed_.revision()}});
+                                             {"revision", feed_.position().revision}});
   metrics_.SetConfigVersion(static_cast<double>(table->version()));
   callers_.SetLimits(table->limits());
   query_.SetRouteTable(std::move(table));
@@ -610,6 +604,11 @@
                                                  {"source", CurrentSource()}});
 }
 
+void node_server::OnStoreHistoryBegun(std::int64_t era, std::int64_t known) {
+  log_.Record(event_number::store_era_changed,
+              {{"era", era}, {"known", known}, {"source", CurrentSource()}});
+}
+
 void node_server::OnStoreHistoryLost(std::int64_t revision) {
   log_.Record(event_number::store_history_lost, {{"revision", revision}});
 }
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -10,6 +10,7 @@
 
 #include "control/control_listener.h"
 #include "control/source_selector.h"
+#include "control/store_position.h"
 #include "membership/recent_maximum.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
@@ -114,6 +115,7 @@
   void OnSourceFailed(int status) override;
   void OnWatchReplaced(std::int64_t revision, std::int64_t newest) override;
   void OnLoadRefused(std::int64_t revision, std::int64_t known) override;
+  void OnStoreHistoryBegun(std::int64_t era, std::int64_t known) override;
   void OnStoreHistoryLost(std::int64_t revision) override;
   void OnStoreResponsive() override;
   void OnCaughtUp() override;
@@ -143,8 +145,8 @@
   source_selector source_;
   instant started_;
   bool is_leaving_ = false;
-  std::int64_t announced_revision_ = 0;
-  /** A new configuration arrived whose revision was not sent to other hosts yet. */
+  store_position announced_position_;
+  /** A new configuration arrived whose position was not sent to other hosts yet. */
   bool has_unannounced_config_ = false;
 };
 
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -34,7 +34,7 @@
 // Hosts to which one host sends a new revision. As every host does so, each one receives it.
 constexpr std::size_t kRevisionFanOut = 16;
 
-// Renewals after which a revision that another host has named, and that no source has reached, is
+// Renewals after which a position that another host has named, and that no source has reached, is
 // taken for an error of that host.
 constexpr int kMaxRenewals = 3;
 // A wall clock is wrong by seconds. An incarnation that is further ahead is not one of this host.
@@ -132,7 +132,7 @@
 }
 
 void peer_service::Send(const std::string& address, peer_message message) {
-  message.revision = revision_;
+  message.position = position_;
   const auto parsed = ParseSocketAddress(address);
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -215,11 +215,11 @@
 
 void peer_service::HandleMessage(const peer_message& message, const socket_address& from) {
   ApplyUpdates(message.updates);
-  if (message.revision > newest_peer_revision_) {
-    if (newest_peer_revision_ <= revision_) {
+  if (message.position > newest_peer_position_) {
+    if (newest_peer_position_ <= position_) {
       behind_since_ = loop_.Now();
     }
-    newest_peer_revision_ = message.revision;
+    newest_peer_position_ = message.position;
     left_behind_since_ = left_behind_since_.value_or(loop_.Now());
   }
   const std::string sender = FormatAddress(from);
@@ -255,8 +255,8 @@
   }
 }
 
-void peer_service::SetRevision(std::int64_t revision) {
-  revision_ = revision;
+void peer_service::SetPosition(const store_position& position) {
+  position_ = position;
   left_behind_since_ = IsOtherAhead() ? std::optional(loop_.Now()) : std::nullopt;
   behind_since_ = loop_.Now();
   renewals_ = 0;
@@ -265,12 +265,12 @@
 void peer_service::OnRenewed() {
   behind_since_ = loop_.Now();
   if (++renewals_ >= kMaxRenewals) {
-    newest_peer_revision_ = revision_;
+    newest_peer_position_ = position_;
     renewals_ = 0;
   }
 }
 
-void peer_service::AnnounceRevision() {
+void peer_service::AnnouncePosition() {
   std::vector<member> others;
   for (const member& host : tracker_.Members()) {
     if (host.name != self_.name && host.state != member_state::dead) {
@@ -290,7 +290,7 @@
 }
 
 bool peer_service::IsBehind() const {
-  return newest_peer_revision_ > revision_ && loop_.Now() - behind_since_ > kMaxRevisionLag;
+  return IsOtherAhead() && loop_.Now() - behind_since_ > kMaxRevisionLag;
 }
 
 void peer_service::Broadcast(const gossip_entry& update) {
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -10,6 +10,7 @@
 
 #include "base/random_source.h"
 #include "control/gossip_entry.h"
+#include "control/store_position.h"
 #include "membership/member.h"
 #include "membership/member_tracker.h"
 #include "membership/peer_message.h"
@@ -74,25 +75,26 @@
   /** Marks this host as leaving and sends that to all hosts. */
   void Leave();
   /**
-   * Sets the store revision that this host has applied; every message to other hosts carries it.
+   * Sets the point of the store's history up to which this host has applied all changes; every
+   * message to other hosts carries it.
    */
-  void SetRevision(std::int64_t revision);
+  void SetPosition(const store_position& position);
   /**
-   * Sends the revision to some hosts at once, so that a host whose watch no longer delivers changes
+   * Sends the position to some hosts at once, so that a host whose watch no longer delivers changes
    * learns of it.
    */
-  void AnnounceRevision();
-  /** Whether another host has a newer store revision that did not arrive here within 1 s. */
+  void AnnouncePosition();
+  /** Whether another host has a newer position that this one has not reached within 1 s. */
   bool IsBehind() const;
-  /** The newest revision of the store that another host has named. */
-  std::int64_t newest_peer_revision() const { return newest_peer_revision_; }
-  /** Whether another host has a newer store revision. */
-  bool IsOtherAhead() const { return newest_peer_revision_ > revision_; }
+  /** The newest position that another host has named. */
+  const store_position& newest_peer_position() const { return newest_peer_position_; }
+  /** Whether another host has a newer position. */
+  bool IsOtherAhead() const { return newest_peer_position_ > position_; }
   /** Whether other hosts have had a newer one for 1 s, while this host has not advanced. */
   bool IsLeftBehind() const;
   /**
    * To be called when this host has renewed its watch because IsBehind(). After some renewals the
-   * newer revision is taken for an error of the host that named it.
+   * newer position is taken for an error of the host that named it.
    */
   void OnRenewed();
   /** This host's own entry, to be registered in the store. */
@@ -147,14 +149,14 @@
   std::uint64_t next_relayed_id_;
   std::uint64_t reported_change_count_ = 0;
   instant started_;
-  std::int64_t revision_ = 0;
-  /** The newest store revision in a message of another host. */
-  std::int64_t newest_peer_revision_ = 0;
-  /** Calls of OnRenewed since the revision of this host has changed. */
+  store_position position_;
+  /** The newest position in a message of another host. */
+  store_position newest_peer_position_;
+  /** Calls of OnRenewed since the position of this host has changed. */
   int renewals_ = 0;
-  /** Since when this host has neither had the newest revision nor advanced. */
+  /** Since when this host has neither had the newest position nor advanced. */
   std::optional<instant> left_behind_since_;
-  /** When this host learned of a newer revision, or last set its own. */
+  /** When this host learned of a newer position, or last set its own. */
   instant behind_since_;
   timer_service::timer_id tick_ = 0;
   bool is_leaving_ = false;
--- a/tests/platform/feed_recorder.h
+++ b/tests/platform/feed_recorder.h
@@ -50,6 +50,7 @@
   void OnSourceFailed(int) override { ++failures; }
   void OnWatchReplaced(std::int64_t, std::int64_t) override { ++watches_replaced; }
   void OnLoadRefused(std::int64_t, std::int64_t) override {}
+  void OnStoreHistoryBegun(std::int64_t, std::int64_t) override {}
   void OnStoreHistoryLost(std::int64_t) override {}
   void OnStoreResponsive() override {}
   void OnCaughtUp() override {}
--- a/tests/platform/test_host_registration.cc
+++ b/tests/platform/test_host_registration.cc
@@ -35,6 +35,7 @@
   void OnSourceFailed(int) override {}
   void OnWatchReplaced(std::int64_t, std::int64_t) override {}
   void OnLoadRefused(std::int64_t, std::int64_t) override {}
+  void OnStoreHistoryBegun(std::int64_t, std::int64_t) override {}
   void OnStoreHistoryLost(std::int64_t) override {}
   void OnStoreResponsive() override { ++silences_ended; }
   void OnRegistered(std::int64_t) override { ++registered; }
--- a/tests/platform/test_store_relay.cc
+++ b/tests/platform/test_store_relay.cc
@@ -58,6 +58,7 @@
   }
   void OnWatchReplaced(std::int64_t) override {}
   void OnLoadRefused(std::int64_t) override {}
+  void OnRevisionsRestarted() override {}
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
 
   std::map<std::string, std::string> values;
--- a/tests/platform/test_store_watcher.cc
+++ b/tests/platform/test_store_watcher.cc
@@ -38,6 +38,7 @@
   void OnStoreRegained(duration) override { ++stores_regained; }
   void OnWatchReplaced(std::int64_t) override { ++watches_replaced; }
   void OnLoadRefused(std::int64_t) override {}
+  void OnRevisionsRestarted() override {}
   void OnHistoryLost(std::int64_t) override { ++histories_lost; }
 
   std::map<std::string, std::string> values;
