Replicas: an entry does not undo a later one of the same process

Cause: only the start of a process ordered the entries of a server; within a process the last one that arrived counted. Revisions order them no more than before a copy.

Change: replica_registry::HoldBack also refuses an entry whose sequence number is below that of the newest one of the same process, in use or removed; the process counts on, so that its next entry is newer. After the store has come back from a copy, the last entry of a server that was removed before is refused as well.

--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -75,13 +75,29 @@
   const replica_record* latest = known != by_id_.end()       ? known->second.get()
                                  : removed != removed_.end() ? removed->second.record.get()
                                                              : nullptr;
-  if (latest == nullptr || registered.started_ms >= latest->registered.started_ms) {
+  if (latest == nullptr) {
+    return false;
+  }
+  const bool was_removed_before_copy =
+      known == by_id_.end() && removed->second.is_of_earlier_history;
+  if (registered.started_ms == latest->registered.started_ms) {
+    // The process counts its entries, so that its next one is newer.
+    return registered.sequence < latest->registered.sequence ||
+           (was_removed_before_copy && registered.sequence == latest->registered.sequence);
+  }
+  if (registered.started_ms > latest->registered.started_ms) {
     return false;
   }
   held_back_[registered.id] = {.registered = registered, .at = now};
   return true;
 }
 
+void replica_registry::BeginHistory() {
+  for (auto& [id, removed] : removed_) {
+    removed.is_of_earlier_history = true;
+  }
+}
+
 std::vector<replica> replica_registry::TakeLastingEntries(instant now) {
   std::vector<replica> lasting;
   std::erase_if(held_back_, [&](const auto& item) {
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -40,9 +40,10 @@
    */
   bool Remove(const std::string& id, instant now);
   /**
-   * Whether the entry is of an earlier process than the one that is or was registered under its id:
-   * written late, or an older copy. It must not be Put, since it would undo that the server leaves,
-   * drains or was removed. It is held back, for TakeLastingEntries.
+   * Whether the entry is older than the newest one under its id, of an earlier process or written
+   * earlier by the same one: it was written late, or is an older copy. It must not be Put, since it
+   * would undo that the server leaves, drains or was removed. That of an earlier process is held
+   * back, for TakeLastingEntries.
    */
   bool HoldBack(const replica& registered, instant now);
   /**
@@ -50,6 +51,11 @@
    * some heartbeats: their processes are the present ones, started after a step of the clock.
    */
   std::vector<replica> TakeLastingEntries(instant now);
+  /**
+   * The store has come back from a copy: the last entry of a server that was removed before may be
+   * there again, and does not mean that the server is back.
+   */
+  void BeginHistory();
   /** Sets the data centres whose servers get no attempts. Returns whether the set has changed. */
   bool SetTakenOut(std::set<std::string> data_centres, instant now);
 
@@ -79,6 +85,8 @@
   struct removed_record {
     std::shared_ptr<replica_record> record;
     instant at;
+    /** Whether the store has come back from a copy since. */
+    bool is_of_earlier_history = false;
   };
   /** By id. */
   std::unordered_map<std::string, removed_record> removed_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -501,8 +501,9 @@
     metrics_.OnEntryRefused();
     log_.Record(event_number::replica_entry_refused,
                 {{"replica", registered.id},
-                 {"message", "the entry is of an earlier process, started at " +
-                                 std::to_string(registered.started_ms)}});
+                 {"message", "the entry is older than the newest one: started at " +
+                                 std::to_string(registered.started_ms) + ", sequence " +
+                                 std::to_string(registered.sequence)}});
     return;
   }
   ApplyReplica(registered);
@@ -607,6 +608,7 @@
 void node_server::OnStoreHistoryBegun(std::int64_t era, std::int64_t known) {
   log_.Record(event_number::store_era_changed,
               {{"era", era}, {"known", known}, {"source", CurrentSource()}});
+  replicas_.BeginHistory();
 }
 
 void node_server::OnStoreHistoryLost(std::int64_t revision) {
