--- a/tests/node/host_fixture.h
+++ b/tests/node/host_fixture.h
@@ -99,6 +99,7 @@
     environment_thread_ = std::thread([&] {
       event_loop loop;
       platform::platform_store store(loop);
+      store.SetEra(1);
       std::vector<std::unique_ptr<http_server>> servers;
       for (const char* id : {"a1", "a2", "b1", "b2", "s1", "s2"}) {
         const auto found = behaviour.find(id);
@@ -117,6 +118,9 @@
           for (const auto& [key, value] : std::exchange(pending_writes_, {})) {
             store.Write(key, value);
           }
+          for (const auto& call : std::exchange(store_calls_, {})) {
+            call(store);
+          }
           for (const std::string& key : std::exchange(pending_removals_, {})) {
             store.Remove(key);
           }
@@ -247,6 +251,21 @@
     pending_writes_.emplace_back(key, std::move(value));
   }
 
+  /** Calls `call` on the thread of the store and waits for its end. */
+  void OnStore(const std::function<void(platform::platform_store&)>& call) {
+    std::atomic<bool> is_done = false;
+    {
+      const std::lock_guard lock(mutex_);
+      store_calls_.emplace_back([&](platform::platform_store& store) {
+        call(store);
+        is_done = true;
+      });
+    }
+    while (!is_done) {
+      std::this_thread::yield();
+    }
+  }
+
   /** Lets this time pass for the host at once, as while its process is paused. */
   void PauseHost(std::chrono::milliseconds time) { host_clock_ahead_ms_ += time.count(); }
 
@@ -492,6 +511,7 @@
   std::vector<std::pair<std::string, std::string>> pending_writes_;
   std::vector<std::string> pending_removals_;
   std::vector<std::pair<std::string, std::string>> unnoticed_writes_;
+  std::vector<std::function<void(platform::platform_store&)>> store_calls_;
   std::atomic<std::int64_t> host_clock_ahead_ms_ = 0;
   std::atomic<std::int64_t> host_freeze_ms_ = 0;
   /** Entries of the servers in the store, by id. */
