--- a/tests/platform/test_store_copies.cc
+++ b/tests/platform/test_store_copies.cc
@@ -739,6 +739,72 @@
             static_cast<long>(last_old_lease));
 }
 
+// Guards against a live server that is removed although it has registered again in time: its entry
+// waits in the store while the host pauses between two watches.
+Test(store_copies, a_server_that_registers_during_a_pause_between_watches_stays_in_use) {
+  copy_fixture fixture;
+  fixture.ComeBack(duration::zero());
+  fixture.MeetEra(fixture.counts);
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(1900));
+  fixture.WriteOthers(1);
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(2000));
+  fixture.store.Write("servers/i3", Server(2));
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(4000));
+  cr_assert(fixture.recorded.removals == 0);
+}
+
+// Guards against the same on a host that follows a relay.
+Test(store_copies, a_follower_keeps_a_server_that_registers_during_a_pause) {
+  copy_fixture fixture(true);
+  fixture.follower.SetSource(fixture.relay_address);
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.follower_recorded.replicas.contains("i3"); });
+  fixture.RunFor(std::chrono::milliseconds(3000));
+  fixture.ComeBack(duration::zero());
+  fixture.MeetEra(fixture.counts);
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(1900));
+  fixture.WriteOthers(1);
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(2000));
+  fixture.store.Write("servers/i3", Server(2));
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(4500));
+  cr_assert(fixture.follower_recorded.removals == 0);
+}
+
+// Guards against a live server that is removed too early: the store names its new era while it
+// still rejects all calls, so that no server can register again.
+Test(store_copies, a_live_server_stays_in_use_when_the_store_rejects_calls_first) {
+  copy_fixture fixture;
+  fixture.ComeBack(duration::zero());
+  fixture.store.SetMode(platform_store::mode_type::busy);
+  fixture.MeetEra(fixture.counts);
+  fixture.RunFor(std::chrono::milliseconds(1500));
+  fixture.store.SetMode(platform_store::mode_type::normal);
+  fixture.returned = fixture.loop.UpdateNow();
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(1900));
+  fixture.store.Write("servers/i3", Server(2));
+  fixture.store.Write("op/evacuate/z", "1");
+  fixture.RunUntilAfterReturn(std::chrono::milliseconds(4500));
+  cr_assert(fixture.recorded.removals == 0);
+  cr_assert(fixture.recorded.returns == 0);
+}
+
+// Guards against a revision of the older era that is named with the new one: other hosts would take
+// it for news that they lack.
+Test(store_copies, a_position_never_mixes_two_eras) {
+  copy_fixture fixture;
+  const std::int64_t known = fixture.feed.position().revision;
+  int mixed = 0;
+  const auto check = fixture.loop.timers().SubscribeEvery(
+      fixture.loop.Now(), std::chrono::microseconds(1), [&](instant) {
+        const store_position position = fixture.feed.position();
+        mixed += position.era == 2 && position.revision == known ? 1 : 0;
+      });
+  fixture.ComeBack(duration::zero());
+  fixture.RunUntil([&] { return fixture.feed.position().era == 2; });
+  fixture.loop.timers().Cancel(check);
+  cr_assert(mixed == 0, "seen %d times", mixed);
+}
+
 // Guards against a host that begins new histories without end because its relay names an era that
 // the store does not have.
 Test(store_copies, a_relay_with_a_wrong_higher_era_is_given_up) {
