--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -78,16 +78,21 @@
   if (latest == nullptr) {
     return false;
   }
-  const bool was_removed_before_copy =
-      known == by_id_.end() && removed->second.is_of_earlier_history;
-  if (registered.started_ms == latest->registered.started_ms) {
-    // The process counts its entries, so that its next one is newer.
-    return registered.sequence < latest->registered.sequence ||
-           (was_removed_before_copy && registered.sequence == latest->registered.sequence);
-  }
-  if (registered.started_ms > latest->registered.started_ms) {
+  const replica& newest = latest->registered;
+  if (registered.started_ms > newest.started_ms) {
     return false;
   }
+  if (registered.started_ms == newest.started_ms) {
+    if (registered.sequence < newest.sequence) {
+      // The process counts its entries, so that its next one is newer.
+      return true;
+    }
+    const bool is_copied = known == by_id_.end() && removed->second.is_of_earlier_history &&
+                           registered.sequence == newest.sequence;
+    if (!is_copied) {
+      return false;
+    }
+  }
   held_back_[registered.id] = {.registered = registered, .at = now};
   return true;
 }
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -42,13 +42,14 @@
   /**
    * Whether the entry is older than the newest one under its id, of an earlier process or written
    * earlier by the same one: it was written late, or is an older copy. It must not be Put, since it
-   * would undo that the server leaves, drains or was removed. That of an earlier process is held
-   * back, for TakeLastingEntries.
+   * would undo that the server leaves, drains or was removed. It is held back for
+   * TakeLastingEntries, unless the process itself has written a later one since.
    */
   bool HoldBack(const replica& registered, instant now);
   /**
-   * Removes and returns the entries that were held back and that no later process has replaced for
-   * some heartbeats: their processes are the present ones, started after a step of the clock.
+   * Removes and returns the entries that were held back and that nothing has replaced for some
+   * heartbeats: their processes are the present ones, started after a step of the clock, or alive
+   * although they were removed before the store came back from a copy.
    */
   std::vector<replica> TakeLastingEntries(instant now);
   /**
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -383,7 +383,7 @@
 void node_server::HandleMetrics(const std::shared_ptr<server_connection>& caller) {
   metrics_.SetDroppedLogLines(static_cast<double>(log_.dropped()));
   metrics_.SetStoreReachable(feed_.position().revision > 0 && feed_.IsStoreReachable());
-  metrics_.SetStoreProgress(static_cast<double>(store_calls_.era.current()),
+  metrics_.SetStoreProgress(static_cast<double>(feed_.position().era),
                             static_cast<double>(feed_.position().revision),
                             loop_.Now() - feed_.last_answer());
   metrics_.SetAnswerMemory(static_cast<double>(pools_.answer_memory().held_bytes()),
@@ -483,7 +483,7 @@
                                              {"before", current ? current->version() : 0},
                                              {"routes", table->routes().size()},
                                              {"source", CurrentSource()},
-                                             {"era", store_calls_.era.current()},
+                                             {"era", feed_.position().era},
                                              {"revision", feed_.position().revision}});
   metrics_.SetConfigVersion(static_cast<double>(table->version()));
   callers_.SetLimits(table->limits());
@@ -601,7 +601,7 @@
 void node_server::OnLoadRefused(std::int64_t revision, std::int64_t known) {
   log_.Record(event_number::store_load_refused, {{"revision", revision},
                                                  {"known", known},
-                                                 {"era", store_calls_.era.current()},
+                                                 {"era", feed_.position().era},
                                                  {"source", CurrentSource()}});
 }
 
--- a/tests/platform/test_store_copies.cc
+++ b/tests/platform/test_store_copies.cc
@@ -739,6 +739,33 @@
             static_cast<long>(last_old_lease));
 }
 
+// Guards against a live server that is lost for good: its entry was gone for a while before the
+// store came back from a copy that has it, so that the server does not write it again.
+Test(store_copies, an_entry_of_the_copy_that_lasts_is_used) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7), kNow);
+  registry.Remove("i1", kNow);
+  registry.BeginHistory();
+  ApplyEntry(registry, Server(7), kNow);
+  cr_assert(!IsInUse(registry));
+  ApplyLastingEntries(registry, kNow);
+  cr_assert(IsInUse(registry));
+}
+
+// Guards against a server whose drain is ignored since an odd entry of another writer under its key
+// has a sequence number that the server never reaches.
+Test(store_copies, an_entry_with_a_sequence_of_no_server_hides_no_later_entry) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(7), kNow);
+  ApplyEntry(registry,
+             R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"1","slots":2,)"
+             R"("state":"ready","warmupLeftMs":0,"seq":9223372036854775807,"born":1})",
+             kNow);
+  ApplyEntry(registry, Server(8, "draining"), kNow);
+  ApplyLastingEntries(registry, kNow);
+  cr_assert(!IsInUse(registry));
+}
+
 // Guards against a live server that is removed although it has registered again in time: its entry
 // waits in the store while the host pauses between two watches.
 Test(store_copies, a_server_that_registers_during_a_pause_between_watches_stays_in_use) {
