--- a/src/limpetlever/net/http_client.cc
+++ b/src/limpetlever/net/http_client.cc
@@ -80,13 +80,13 @@
   handler_.OnConnected(*this);
 }
 
-void http_client::Send(std::string_view request, bool is_head) {
+void http_client::Send(outgoing_request request, bool is_head) {
   is_busy_ = true;
   last_received_.reset();
   received_bytes_ = 0;
   reader_.Next();
   reader_.ExpectNoBody(is_head);
-  socket_.Write(request);
+  socket_.Write(std::move(request.head), std::move(request.body));
 }
 
 bool http_client::DeliverResponse() {
--- a/src/limpetlever/net/http_client.h
+++ b/src/limpetlever/net/http_client.h
@@ -6,10 +6,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/socket_address.h"
 #include "base/time_types.h"
 #include "net/http_reader.h"
+#include "net/outgoing_request.h"
 #include "net/receive_memory.h"
 #include "net/stream_socket.h"
 
@@ -63,7 +65,8 @@
   ~http_client() override;
 
   /** Sends a complete request. To be called only when connected and not busy. */
-  void Send(std::string_view request, bool is_head = false);
+  void Send(outgoing_request request, bool is_head = false);
+  void Send(std::string request) { Send({.head = std::move(request), .body = nullptr}); }
 
   bool IsConnected() const { return is_connected_; }
   /** Whether a request is in flight. */
--- a/src/limpetlever/net/stream_socket.cc
+++ b/src/limpetlever/net/stream_socket.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Smaller bodies are sent together with the head, in one system call.
+constexpr std::size_t kMaxCopiedBytes = 4 * 1024;
+
 bool IsTemporary(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
@@ -44,6 +47,9 @@
 void stream_socket::Reset() {
   watch_.WantRead(false);
   watch_.WantWrite(false);
+  unsent_ = {};
+  unsent_at_ = 0;
+  unsent_body_ = nullptr;
   handle_.Reset();
 }
 
@@ -80,45 +86,101 @@
     }
     is_destroyed_ = nullptr;
   }
-  const std::string pending = std::exchange(unsent_, {});
-  watch_.WantWrite(false);
-  if (!pending.empty()) {
-    Write(pending);
-  }
-  if (is_ending_ && unsent_.empty()) {
+  const bool had_unsent = unsent_bytes() > 0;
+  SendUnsent();
+  const bool has_unsent = unsent_bytes() > 0;
+  watch_.WantWrite(has_unsent);
+  if (is_ending_ && !has_unsent) {
     shutdown(handle_.fd(), SHUT_WR);
   }
+  if (had_unsent && !has_unsent) {
+    handler_.OnSent();
+  }
 }
 
 void stream_socket::EndWriting() {
   is_ending_ = true;
-  if (unsent_.empty()) {
+  if (unsent_bytes() == 0) {
     shutdown(handle_.fd(), SHUT_WR);
   }
 }
 
+std::size_t stream_socket::unsent_bytes() const {
+  const std::size_t of_body = unsent_body_ ? unsent_body_->size() - unsent_body_at_ : 0;
+  return unsent_.size() - unsent_at_ + of_body;
+}
+
 void stream_socket::Write(std::string_view bytes) {
-  if (!unsent_.empty() || is_connecting_) {
+  if (unsent_bytes() > 0 || is_connecting_) {
+    if (unsent_body_) {
+      unsent_.append(*unsent_body_, unsent_body_at_);
+      unsent_body_ = nullptr;
+    }
     unsent_ += bytes;
     return;
   }
-  while (!bytes.empty()) {
-    const ssize_t size = send(handle_.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    if (size >= 0) {
-      bytes.remove_prefix(static_cast<std::size_t>(size));
-      continue;
+  const std::size_t sent = SendSome(bytes);
+  if (sent < bytes.size()) {
+    unsent_ = bytes.substr(sent);
+    watch_.WantWrite(true);
+  }
+}
+
+void stream_socket::Write(std::string head, std::shared_ptr<const std::string> body) {
+  if (body == nullptr || body->size() <= kMaxCopiedBytes) {
+    if (body != nullptr) {
+      head += *body;
+    }
+    Write(head);
+    return;
+  }
+  Write(head);
+  unsent_body_ = std::move(body);
+  unsent_body_at_ = 0;
+  if (!is_connecting_) {
+    if (unsent_.empty()) {
+      SendUnsent();
     }
-    if (errno == EINTR) {
-      continue;
+    watch_.WantWrite(unsent_bytes() > 0);
+  }
+}
+
+void stream_socket::SendUnsent() {
+  const std::size_t before = unsent_bytes();
+  if (!unsent_.empty()) {
+    unsent_at_ += SendSome(std::string_view(unsent_).substr(unsent_at_));
+    if (unsent_at_ == unsent_.size()) {
+      unsent_ = {};
+      unsent_at_ = 0;
+    } else if (unsent_at_ > unsent_.size() / 2) {
+      unsent_.erase(0, unsent_at_);
+      unsent_.shrink_to_fit();
+      unsent_at_ = 0;
     }
-    if (!IsTemporary(errno)) {
-      // OnReadable reports the error, after the bytes that the peer sent before it.
-      return;
+  }
+  if (unsent_.empty() && unsent_body_) {
+    unsent_body_at_ += SendSome(std::string_view(*unsent_body_).substr(unsent_body_at_));
+    if (unsent_body_at_ == unsent_body_->size()) {
+      unsent_body_ = nullptr;
+    }
+  }
+  if (unsent_bytes() < before) {
+    last_sent_ = loop_.Now();
+  }
+}
+
+std::size_t stream_socket::SendSome(std::string_view bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const ssize_t size = send(handle_.fd(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (size >= 0) {
+      sent += static_cast<std::size_t>(size);
+    } else if (errno != EINTR) {
+      // OnReadable reports an error, after the bytes that the peer sent before it.
+      return IsTemporary(errno) ? sent : bytes.size();
     }
-    unsent_ = bytes;
-    watch_.WantWrite(true);
-    return;
   }
+  return sent;
 }
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time_types.h"
+#include "net/outgoing_request.h"
 #include "query/attempt_failure.h"
 
 namespace limpetlever {
@@ -23,7 +24,7 @@
    * Returns the complete HTTP request for a server that has `time_left` to answer. Called when it
    * is sent, as that time passes while the attempt waits for a connection.
    */
-  std::function<std::string(duration time_left)> write_request;
+  std::function<outgoing_request(duration time_left)> write_request;
   /** Whether it is a HEAD request, whose response has no body. */
   bool is_head = false;
   /** 0 is the most urgent. Attempts waiting for a connection get one in this order. */
--- a/tests/node/test_replica_pool.cc
+++ b/tests/node/test_replica_pool.cc
@@ -44,7 +44,8 @@
     attempt->target = record;
     attempt->write_request = [this, target](duration left) {
       stated_times[target] = left;
-      return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+      return outgoing_request{.head = "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n",
+                              .body = nullptr};
     };
     attempt->deadline = loop.Now() + time_left;
     attempt->on_response = [](http_message&) { return true; };
--- a/tests/platform/test_request_codec.cc
+++ b/tests/platform/test_request_codec.cc
@@ -28,6 +28,12 @@
 
 const replica kTarget{.id = "i-1"};
 
+/** The bytes of the request for kTarget. */
+std::string Encode(const platform::replica_request_writer& writer, duration timeout) {
+  const outgoing_request request = writer.Write(kTarget, timeout);
+  return request.head + (request.body ? *request.body : "");
+}
+
 }  // namespace
 
 // Guards against hop-by-hop fields that are forwarded to a server, a deadline that is not
@@ -40,7 +46,7 @@
   const auto options = platform::ParseCallerOptions(*request);
   cr_assert(options.request_id == "77" && options.timeout == std::chrono::milliseconds(400));
   const platform::replica_request_writer writer(*request);
-  parsed sent(http_reader::side::requests, writer.Write(kTarget, std::chrono::milliseconds(250)));
+  parsed sent(http_reader::side::requests, Encode(writer, std::chrono::milliseconds(250)));
   cr_assert(sent->method == "POST" && sent->target == "/a/b?x=%20y" && sent->body == "ab");
   cr_assert(sent->Find("Attempt-Id") == "77" && sent->Find("Host") == "h");
   cr_assert(sent->Count("Deadline-Ms") == 1 && sent->Find("Deadline-Ms") == "250");
@@ -56,7 +62,7 @@
                  "GET /a HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\ntarget-instance: i-9\r\n"
                  "deadline-ms: 9000\r\n\r\n");
   const platform::replica_request_writer writer(*request);
-  parsed sent(http_reader::side::requests, writer.Write(kTarget, std::chrono::milliseconds(100)));
+  parsed sent(http_reader::side::requests, Encode(writer, std::chrono::milliseconds(100)));
   cr_assert(sent->Count("Target-Instance") == 1 && sent->Find("Target-Instance") == "i-1");
   cr_assert(sent->Count("Deadline-Ms") == 1 && sent->Find("Deadline-Ms") == "100");
   cr_assert(!sent->Has("Content-Length"));
