Callers: what their connections hold is limited

Cause: nothing bounded what the connections of callers take together: incomplete requests, requests that wait for their answer, bytes sent ahead and unread answers. Requests sent ahead were handled although no answer was read, connections kept up to 96 KB for the next request, and the number of connections did not depend on the memory. No request is read while an answer is unread. Readiness, directory and metrics have limits of their own. The kernel's buffers of each connection are limited.

--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -104,6 +104,8 @@
       return "foreign_answer_dropped";
     case event_number::crash_suspected:
       return "crash_suspected";
+    case event_number::caller_given_up:
+      return "caller_given_up";
     case event_number::config_adopted:
       return "config_adopted";
     case event_number::config_refused:
@@ -200,6 +202,7 @@
       event_number::caller_left,
       event_number::foreign_answer_dropped,
       event_number::crash_suspected,
+      event_number::caller_given_up,
       event_number::config_adopted,
       event_number::config_refused,
       event_number::replica_changed,
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -63,6 +63,7 @@
   caller_left = 914,
   foreign_answer_dropped = 915,
   crash_suspected = 916,
+  caller_given_up = 917,
   config_adopted = 920,
   config_refused = 921,
   replica_changed = 922,
--- a/src/limpetlever/net/http_message.cc
+++ b/src/limpetlever/net/http_message.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Buffers of this size are kept for the next message. Larger ones are rare, and connections that
-// are idle would keep them for long.
-constexpr std::size_t kMaxKeptBytes = 32 * 1024;
+// Buffers of this size are kept for the next message. Many connections that are idle would keep
+// larger ones for long.
+constexpr std::size_t kMaxKeptBytes = 4 * 1024;
 
 void ClearBuffer(std::string& buffer) {
   buffer.clear();
--- a/src/limpetlever/net/http_reader.cc
+++ b/src/limpetlever/net/http_reader.cc
@@ -1,5 +1,10 @@
 #include "net/http_reader.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <utility>
+
 namespace limpetlever {
 
 namespace {
@@ -87,10 +92,13 @@
 int http_reader::OnHeadersComplete(http_parser* parser) {
   http_reader& self = Self(parser);
   self.has_header_ = true;
+  const bool states_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  self.expected_body_bytes_ =
+      states_length ? std::min<std::uint64_t>(parser->content_length, self.max_body_bytes_)
+                    : self.max_body_bytes_;
   if (self.side_ == side::requests) {
     self.message_.method = http_method_str(static_cast<http_method>(parser->method));
-    const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
-    if (has_length && parser->content_length > self.max_body_bytes_) {
+    if (states_length && parser->content_length > self.max_body_bytes_) {
       self.state_ = state::body_too_large;
       return -1;
     }
@@ -109,10 +117,24 @@
     self.state_ = state::body_too_large;
     return 1;
   }
+  self.ReserveBody(size);
   self.message_.body.append(at, size);
   return 0;
 }
 
+void http_reader::ReserveBody(std::size_t size) {
+  std::string& body = message_.body;
+  const std::size_t needed = body.size() + size;
+  if (needed <= body.capacity()) {
+    return;
+  }
+  // A string that grows by itself takes up to twice the memory of its text.
+  std::string larger;
+  larger.reserve(std::max(needed, std::min(2 * needed, expected_body_bytes_)));
+  larger += body;
+  body = std::move(larger);
+}
+
 int http_reader::OnMessageComplete(http_parser* parser) {
   http_reader& self = Self(parser);
   if (self.side_ == side::responses && parser->status_code <= kLastInformationalStatus) {
--- a/src/limpetlever/net/http_reader.h
+++ b/src/limpetlever/net/http_reader.h
@@ -52,6 +52,7 @@
   /** Whether the header of the current message is complete. */
   bool HasHeader() const { return has_header_; }
   http_message& message() { return message_; }
+  const http_message& message() const { return message_; }
 
  private:
   static http_reader& Self(http_parser* parser) { return *static_cast<http_reader*>(parser->data); }
@@ -71,10 +72,14 @@
   bool HasAmbiguousLines(std::string_view bytes);
   void BeginMessage();
   int CheckHeaderSize();
+  /** Makes room for `size` more bytes of the body, and for no more than the body may have. */
+  void ReserveBody(std::size_t size);
 
   const side side_;
   std::size_t max_header_bytes_;
   std::size_t max_body_bytes_;
+  /** The length that the header states, or the limit. */
+  std::size_t expected_body_bytes_ = 0;
   http_parser parser_{};
   http_message message_;
   state state_ = state::reading;
--- a/src/limpetlever/net/http_server.h
+++ b/src/limpetlever/net/http_server.h
@@ -10,6 +10,7 @@
 #include "base/result.h"
 #include "base/socket_address.h"
 #include "config/caller_limits.h"
+#include "net/caller_memory.h"
 #include "net/io_watch.h"
 #include "net/socket.h"
 #include "timer/timer_service.h"
@@ -35,6 +36,20 @@
    * the kernel's accept queue.
    */
   void SetMaxConnections(std::size_t max) { max_connections_ = max; }
+  /** Sets what the connections may hold together. */
+  void SetMaxMemory(std::size_t max_bytes) { memory_.SetMaxBytes(max_bytes); }
+  const caller_memory& memory() const { return memory_; }
+  /** Why a connection was given up: what it holds, or the number of connections. */
+  enum class give_up_cause { memory, connections };
+  /**
+   * Sets the function to call when a connection that holds `bytes` is given up. It must not use the
+   * connection.
+   */
+  void OnGivenUp(std::function<void(give_up_cause cause, std::size_t bytes)> call) {
+    on_given_up_ = std::move(call);
+  }
+  /** How many connections were given up since the start. */
+  std::size_t given_up_count() const { return given_up_count_; }
   /** Makes each answer close its connection from now on. New connections are still accepted. */
   void BeginDrain() { is_draining_ = true; }
   bool IsDraining() const { return is_draining_; }
@@ -56,14 +71,27 @@
   void OnWritable() override {}
   void Remove(server_connection& connection);
   void CloseTimedOut();
+  /**
+   * Gives up the connections that have completed no request for the longest time, while nearly as
+   * many are open as may be.
+   */
+  void GiveUpIdle();
+  void ReportGivenUp(give_up_cause cause, std::size_t bytes);
+  bool IsFull() const { return max_connections_ != 0 && connections_.size() >= max_connections_; }
 
   event_loop& loop_;
   socket_handle listener_;
   std::unique_ptr<io_watch> watch_;
   request_function on_request_;
   caller_limits limits_;
+  /** For servers that set no limit; well above what a small host needs for one purpose. */
+  static constexpr std::size_t kDefaultMaxMemory = std::size_t{32} * 1024 * 1024;
+  caller_memory memory_{kDefaultMaxMemory};
   std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
-  std::size_t max_connections_ = 0;
+  std::function<void(give_up_cause, std::size_t)> on_given_up_;
+  std::size_t given_up_count_ = 0;
+  static constexpr std::size_t kDefaultMaxConnections = 1000;
+  std::size_t max_connections_ = kDefaultMaxConnections;
   timer_service::timer_id sweep_ = 0;
   bool is_draining_ = false;
 };
--- a/src/limpetlever/net/server_connection.h
+++ b/src/limpetlever/net/server_connection.h
@@ -8,14 +8,15 @@
 
 #include "base/time_types.h"
 #include "net/http_reader.h"
+#include "net/http_server.h"
+#include "net/receive_memory.h"
 #include "net/stream_socket.h"
 
 namespace limpetlever {
 
-class http_server;
-
 /** A caller's connection. Its requests are handled one at a time, in the order of arrival. */
 class server_connection : public stream_socket::handler,
+                          public receive_memory::holder,
                           public std::enable_shared_from_this<server_connection> {
  public:
   server_connection(http_server& server, socket_handle handle);
@@ -48,9 +49,28 @@
   void OnBytes(std::string_view bytes) override;
   void OnEnd() override;
   void OnError(int error) override;
+  void OnSent() override;
+  void OnMemoryReclaimed() override;
   void Read(std::string_view bytes);
+  /** Begins to handle the request that was read, or refuses it. */
+  void BeginRequest();
+  /** Keeps pipelined bytes, and pauses reading if they are many. */
+  void Keep(std::string_view bytes);
+  /** Whether the next request may be read: none is being handled, and the answers are sent. */
+  bool MayRead() const;
+  /** Reads the next request if it may be read. */
+  void Continue();
   void Refuse(int status);
+  /**
+   * Ends the connection for the sake of others; no request of it is being handled. An incomplete
+   * request is refused.
+   */
+  void GiveUp(http_server::give_up_cause cause);
   void Close();
+  /** Tells the server what this connection holds that may be given up. May end this connection. */
+  void HoldUnfinished();
+  void ReleaseMemory();
+  std::size_t UnfinishedBytes() const;
   /**
    * Whether it has exceeded the idle or header timeout, or that for closing after the last answer.
    */
@@ -64,7 +84,11 @@
   /** Empty until the first call of peer_ip(). */
   std::string peer_ip_;
   std::function<void()> on_caller_disconnected_;
+  /** Memory of the request that is being handled. */
+  std::size_t open_bytes_ = 0;
   instant request_time_;
+  /** When the last request was answered, or the connection was accepted. */
+  instant last_request_;
   instant last_activity_;
   bool has_open_request_ = false;
   bool is_reading_ = false;
--- a/src/limpetlever/net/socket.cc
+++ b/src/limpetlever/net/socket.cc
@@ -132,6 +132,11 @@
   return handle;
 }
 
+void LimitBuffers(int listener_fd, int receive_bytes, int unsent_bytes) {
+  SetOption(listener_fd, SOL_SOCKET, SO_RCVBUF, receive_bytes);
+  SetOption(listener_fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, unsent_bytes);
+}
+
 void SetUnacknowledgedTimeout(int fd, duration timeout) {
   SetOption(
       fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
--- a/src/limpetlever/net/socket.h
+++ b/src/limpetlever/net/socket.h
@@ -39,6 +39,11 @@
 result<socket_handle> BindDatagram(const socket_address& address);
 /** Accepts the next connection of a listening socket; the handle is not open if there is none. */
 socket_handle Accept(int listener_fd);
+/**
+ * Limits what the kernel holds for each connection that a listening socket accepts: bytes that are
+ * not read yet, and bytes that are not sent yet.
+ */
+void LimitBuffers(int listener_fd, int receive_bytes, int unsent_bytes);
 /** Sets TCP_USER_TIMEOUT: the connection fails when sent bytes stay unacknowledged for so long. */
 void SetUnacknowledgedTimeout(int fd, duration timeout);
 /**
--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -86,6 +86,13 @@
       answers_given_up_(AddGauge(*registry_,
                                  "limpetlever_answers_given_up",
                                  "Incomplete answers given up for want of memory since the start")),
+      caller_bytes_(AddGauge(*registry_,
+                             "limpetlever_caller_bytes",
+                             "Memory of requests and unread answers of callers' connections")),
+      connections_given_up_(
+          AddGauge(*registry_,
+                   "limpetlever_connections_given_up",
+                   "Connections given up for want of memory or connections since the start")),
       backend_servers_(
           AddGauge(*registry_, "limpetlever_backend_servers", "Known backend servers")),
       hosts_alive_(AddGauge(*registry_, "limpetlever_hosts_alive", "Hosts believed to be alive")),
@@ -161,6 +168,11 @@
   answers_given_up_.Set(given_up);
 }
 
+void node_metrics::SetCallerMemory(double bytes, double given_up) {
+  caller_bytes_.Set(bytes);
+  connections_given_up_.Set(given_up);
+}
+
 void node_metrics::SetBackendServerCount(double count) {
   backend_servers_.Set(count);
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -53,6 +53,8 @@
    * because that was too much.
    */
   void SetAnswerMemory(double bytes, double given_up);
+  /** What callers' connections hold, and how many connections were given up since the start. */
+  void SetCallerMemory(double bytes, double given_up);
   /** Number of backend servers known to this host. */
   void SetBackendServerCount(double count);
   void SetLiveHostCount(double count);
@@ -85,6 +87,8 @@
   prometheus::Gauge& config_version_;
   prometheus::Gauge& answer_bytes_;
   prometheus::Gauge& answers_given_up_;
+  prometheus::Gauge& caller_bytes_;
+  prometheus::Gauge& connections_given_up_;
   prometheus::Gauge& backend_servers_;
   prometheus::Gauge& hosts_alive_;
   prometheus::Gauge& log_lines_dropped_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -65,6 +65,18 @@
 // Share of the memory for incomplete answers of backend servers. The rest is for callers, complete
 // answers and the host itself, and for buffers that have just been enlarged.
 constexpr std::size_t kAnswerMemoryDivisor = 4;
+// Share of the memory for requests of callers and for answers that they have not read.
+constexpr std::size_t kCallerMemoryDivisor = 3;
+// Memory of the host for each connection of a caller; it holds less, but the kernel holds bytes
+// too.
+constexpr std::size_t kMemoryPerConnection = 128 * 1024;
+// Readiness probes, look-ups and metrics are small requests without a body, answered at once.
+constexpr std::size_t kMaxProbeConnections = 16;
+constexpr std::size_t kMaxLookUpConnections = 128;
+constexpr std::size_t kSmallServerMemory = 2 * 1024 * 1024;
+constexpr std::size_t kMaxSmallHeaderBytes = 8 * 1024;
+constexpr std::size_t kMaxSmallBodyBytes = 1024;
+constexpr duration kGivenUpLogPeriod = std::chrono::seconds(1);
 
 std::string FormatAddress(const socket_address& address) {
   return address.ip + ":" + std::to_string(address.port);
@@ -166,6 +178,12 @@
         std::make_unique<http_server>(loop_, std::move(sockets.directory),
                                       [this](const auto& caller) { HandleDirectory(caller); });
   }
+  LimitSmallServer(readiness_, kMaxProbeConnections);
+  LimitSmallServer(metrics_server_, kMaxProbeConnections);
+  if (directory_) {
+    LimitSmallServer(*directory_, kMaxLookUpConnections);
+  }
+  callers_.OnGivenUp([this](auto cause, std::size_t bytes) { OnConnectionGivenUp(cause, bytes); });
   ApplySettings(settings_);
   peers_.OnMembersChanged([this] { UpdateShares(); });
   peers_.OnCrashReport(
@@ -217,12 +235,37 @@
   log_.Flush();
 }
 
+void node_server::LimitSmallServer(http_server& server, std::size_t max_connections) {
+  server.SetLimits(
+      {.max_header_bytes = kMaxSmallHeaderBytes, .max_body_bytes = kMaxSmallBodyBytes});
+  server.SetMaxConnections(max_connections);
+  server.SetMaxMemory(kSmallServerMemory);
+  server.OnGivenUp([this](auto cause, std::size_t bytes) { OnConnectionGivenUp(cause, bytes); });
+}
+
+void node_server::OnConnectionGivenUp(http_server::give_up_cause cause, std::size_t bytes) {
+  ++given_up_count_;
+  if (logged_given_up_count_ != 0 && loop_.Now() - given_up_logged_ < kGivenUpLogPeriod) {
+    return;
+  }
+  log_.Record(event_number::caller_given_up,
+              {{"cause", cause == http_server::give_up_cause::memory ? "memory" : "connections"},
+               {"bytes", bytes},
+               {"held", callers_.memory().held_bytes()},
+               {"connections", callers_.connection_count()},
+               {"count", given_up_count_ - logged_given_up_count_}});
+  logged_given_up_count_ = given_up_count_;
+  given_up_logged_ = loop_.Now();
+}
+
 void node_server::ApplySettings(const node_settings& settings) {
   settings_ = settings;
   store_calls_.outages.SetMinOutage(platform::ShortestLapsingOutage(settings_.server_heartbeat));
   pools_.SetAnswerMemory(settings_.max_memory / kAnswerMemoryDivisor);
+  callers_.SetMaxMemory(settings_.max_memory / kCallerMemoryDivisor);
   callers_.SetMaxConnections(
-      static_cast<std::size_t>((settings_.max_descriptors - kReservedDescriptors) / 2));
+      std::min(static_cast<std::size_t>((settings_.max_descriptors - kReservedDescriptors) / 2),
+               settings_.max_memory / kMemoryPerConnection));
   UpdateShares();
 }
 
@@ -388,6 +431,8 @@
                             loop_.Now() - feed_.last_answer());
   metrics_.SetAnswerMemory(static_cast<double>(pools_.answer_memory().held_bytes()),
                            static_cast<double>(pools_.answer_memory().reclaimed_count()));
+  metrics_.SetCallerMemory(static_cast<double>(callers_.memory().held_bytes()),
+                           static_cast<double>(given_up_count_));
   metrics_.SetBackendServerCount(static_cast<double>(replicas_.size()));
   for (std::size_t i = 0; i < platform::kStoreCallKinds; ++i) {
     const auto kind = static_cast<platform::store_call>(i);
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -69,6 +69,10 @@
   void ApplyReplica(const replica& registered);
   /** Announces a new store revision to other hosts, or catches up if they have a newer one. */
   void CheckRevision();
+  /** Limits the connections of a server that answers small requests, and what they hold. */
+  void LimitSmallServer(http_server& server, std::size_t max_connections);
+  /** Counts a connection that was given up, and logs it unless one was logged within a second. */
+  void OnConnectionGivenUp(http_server::give_up_cause cause, std::size_t bytes);
   void ApplySettings(const node_settings& settings);
   /** Recomputes this host's share of the retry budget and of the connections to servers. */
   void UpdateShares();
@@ -144,6 +148,10 @@
   recent_maximum hosts_in_use_;
   source_selector source_;
   instant started_;
+  /** Connections given up since the start. */
+  std::int64_t given_up_count_ = 0;
+  std::int64_t logged_given_up_count_ = 0;
+  instant given_up_logged_;
   bool is_leaving_ = false;
   store_position announced_position_;
   /** A new configuration arrived whose position was not sent to other hosts yet. */
--- a/tests/memory/test_hostile_callers.cc
+++ b/tests/memory/test_hostile_callers.cc
@@ -60,6 +60,8 @@
   const std::size_t peak = host.process().Memory("VmHWM");
   const std::size_t unread = UnreadBytes(host.caller_address());
   const std::size_t at_rest = host.process().Memory("VmRSS") + unread;
+  cr_log_info("%zu KB at most, %zu KB at rest with %zu KB unread", peak / 1024, at_rest / 1024,
+              unread / 1024);
   cr_assert(peak <= kMemoryBytes && at_rest <= kMemoryBytes,
             "%zu KB at most, %zu KB at rest with %zu KB unread, of %zu KB", peak / 1024,
             at_rest / 1024, unread / 1024, kMemoryBytes / 1024);
