--- a/src/limpetlever/net/http_server.cc
+++ b/src/limpetlever/net/http_server.cc
@@ -17,7 +17,6 @@
 // Connections accepted per wake-up, so that a burst of callers does not delay answers.
 constexpr int kMaxAcceptsPerWakeup = 16;
 constexpr int kRequestTimeout = 408;
-constexpr int kUnavailable = 503;
 // Bytes that the kernel holds for a connection count as memory of the host.
 constexpr int kReceiveBufferBytes = 32 * 1024;
 constexpr int kSendBufferBytes = 64 * 1024;
