Replicas: an entry that is renewed while it is held back is used in time

Cause: each entry that was held back started the 5 s anew for which it must last, so that a server whose entry is written again sooner was never used. Found by a review, with a failing test. Change: an entry of the same process keeps the time of the first one.

Tests: an_entry_that_is_renewed_while_it_is_held_back_is_used failed before.

--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -1,6 +1,7 @@
 #include "replicas/replica_registry.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "replicas/admission.h"
@@ -69,7 +70,11 @@
 }
 
 bool replica_registry::HoldBack(const replica& registered, instant now) {
-  held_back_.erase(registered.id);
+  std::optional<held_back_entry> before;
+  if (const auto held = held_back_.find(registered.id); held != held_back_.end()) {
+    before = held->second;
+    held_back_.erase(held);
+  }
   const auto known = by_id_.find(registered.id);
   const auto removed = removed_.find(registered.id);
   const replica_record* latest = known != by_id_.end()       ? known->second.get()
@@ -93,7 +98,9 @@
       return false;
     }
   }
-  held_back_[registered.id] = {.registered = registered, .at = now};
+  const bool is_of_same_process = before && before->registered.started_ms == registered.started_ms;
+  held_back_[registered.id] = {.registered = registered,
+                               .at = is_of_same_process ? before->at : now};
   return true;
 }
 
--- a/tests/platform/test_store_copies.cc
+++ b/tests/platform/test_store_copies.cc
@@ -1,7 +1,11 @@
+#include <array>
 #include <chrono>
+#include <cstdlib>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "base/random_source.h"
 #include "feed_fixture.h"
 #include "limits/crash_report.h"
 #include "platform/crash_report_writer.h"
@@ -679,11 +683,7 @@
   cr_assert(fixture.follower.position() == (store_position{.era = 1, .revision = known}));
   fixture.RunFor(std::chrono::seconds(4));
   fixture.store.Write("op/config", Config(3));
-  const instant st = fixture.loop.UpdateNow();
-  const bool ok = fixture.HoldsWithin(std::chrono::seconds(40),
-                                      [&] { return fixture.follower_recorded.HasVersion(3); });
-  fprintf(stderr, "TRIAL B ok %d after %.1f s\n", ok,
-          std::chrono::duration<double>(fixture.loop.UpdateNow() - st).count());
+  cr_assert(fixture.HasVersionInTime(fixture.follower_recorded, 3));
 }
 
 // Guards against a first return that goes unnoticed: the store has named no era, or 0, before it.
@@ -706,8 +706,7 @@
   for (int i = 0; i < kManyWrites; ++i) {
     fixture.store.Write("other", std::to_string(i));
   }
-  cr_assert(fixture.HoldsWithin(std::chrono::seconds(40),
-                                [&] { return fixture.recorded.HasVersion(3); }));
+  cr_assert(fixture.HoldsWithin(kChangeBound, [&] { return fixture.recorded.HasVersion(3); }));
   cr_assert(fixture.recorded.entries["i1"].is_draining);
 }
 
@@ -901,3 +900,283 @@
   cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
   cr_assert(fixture.feed.position().revision == fixture.store.revision());
 }
+
+// Guards against a live server that stays out of use because each of its heartbeats starts the time
+// anew for which its entry must last: another entry under its key named a later start.
+Test(store_copies, an_entry_that_is_renewed_while_it_is_held_back_is_used) {
+  replica_registry registry("z");
+  ApplyEntry(registry, Server(1, "ready", 9), kNow);
+  registry.Remove("i1", kNow);
+  instant now = kNow;
+  for (int sequence = 1; sequence <= 10; ++sequence) {
+    now += std::chrono::milliseconds(1200);
+    ApplyEntry(registry, Server(sequence), now);
+    for (const replica& lasting : registry.TakeLastingEntries(now)) {
+      registry.Put(lasting, now);
+    }
+  }
+  cr_assert(IsInUse(registry));
+}
+
+// Guards against the report of a crash that is written under a lease of the older era.
+Test(store_copies, a_crash_report_is_not_written_under_a_lease_of_the_older_era) {
+  copy_fixture fixture;
+  platform::crash_report_writer writer(fixture.loop, fixture.store.address(), fixture.counts, 1);
+  const auto report = ToGossipEntry({.fingerprint = 1, .server = "s", .at = ReadWallClock()});
+  std::int64_t last_old_lease = 0;
+  const auto raise_era = [&] {
+    if (fixture.store.CallCount("/kv-lease") > 0 && last_old_lease == 0) {
+      last_old_lease = fixture.store.GrantLease();
+      fixture.store.SetEra(2);
+      fixture.WriteOthers(1);
+    }
+  };
+  fixture.RunFor(std::chrono::seconds(2));
+  const auto check =
+      fixture.loop.timers().SubscribeEvery(fixture.loop.Now(), std::chrono::microseconds(1),
+                                           [&](instant) { fixture.loop.Defer(raise_era); });
+  writer.Write(report);
+  fixture.RunUntil([&] { return fixture.store.items().contains(report.key); });
+  fixture.loop.timers().Cancel(check);
+  cr_assert(fixture.counts.era.current() == 2);
+  cr_assert(fixture.store.LeaseOf(report.key) > last_old_lease, "lease %ld, last old %ld",
+            static_cast<long>(fixture.store.LeaseOf(report.key)),
+            static_cast<long>(last_old_lease));
+}
+
+// Guards against a host, a relay or a follower that does not recover from an order of returns,
+// outages and writes which no other test plays: after a quiet time all of them have what the store
+// has, and each host holds a lease of its own.
+Test(store_copies, hosts_recover_from_random_returns) {
+  const char* const first = std::getenv("RANDOM_RETURNS_SEED");
+  const unsigned first_seed = first == nullptr ? 1 : static_cast<unsigned>(std::atoi(first));
+  // Each seed takes 20 to 60 s.
+  for (unsigned seed = first_seed; seed < first_seed + 1; ++seed) {
+    copy_fixture fixture(true);
+    random_source random(seed);
+    const auto pick = [&](std::uint64_t bound) { return static_cast<int>(random.Below(bound)); };
+    fixture.follower.SetSource(fixture.relay_address);
+    fixture.follower.Start();
+    platform::host_registration registration(fixture.loop, fixture.store.address(), fixture.counts,
+                                             seed, fixture.recorded);
+    platform::host_registration other(fixture.loop, fixture.store.address(),
+                                      fixture.follower_counts, seed + 1, fixture.follower_recorded);
+    other.SetFollowing(true);
+    registration.Start("h1", "text");
+    other.Start("h2", "text");
+    int sequence = 10;
+    int version = 10;
+    const int steps = 20 + pick(20);
+    for (int step = 0; step < steps; ++step) {
+      switch (pick(10)) {
+        case 0:
+          fixture.store.TakeCopy();
+          break;
+        case 1:
+        case 2:
+          fixture.store.SetMode(platform_store::mode_type::silent);
+          fixture.RunFor(std::chrono::milliseconds(pick(900)));
+          fixture.store.ReturnFromCopy();
+          fixture.store.SetMode(pick(4) == 0 ? platform_store::mode_type::busy
+                                             : platform_store::mode_type::normal);
+          break;
+        case 3:
+          fixture.store.ReturnFromCopy();
+          break;
+        case 4:
+          fixture.feed.CatchUp();
+          break;
+        case 5:
+          fixture.store.Remove("servers/i" + std::to_string(1 + pick(4)));
+          break;
+        case 6:
+          fixture.store.Write("op/config", Config(++version));
+          break;
+        default:
+          fixture.store.Write("servers/i" + std::to_string(1 + pick(4)),
+                              Server(++sequence, pick(2) == 0 ? "ready" : "draining"));
+          break;
+      }
+      fixture.RunFor(std::chrono::milliseconds(pick(pick(3) == 0 ? 900 : 30) + 1));
+      fixture.store.SetMode(platform_store::mode_type::normal);
+    }
+    fixture.store.Write("op/config", Config(++version));
+    fixture.RunFor(std::chrono::seconds(14));
+    for (const auto* host : {&fixture.recorded, &fixture.follower_recorded}) {
+      const char* const name = host == &fixture.recorded ? "host" : "follower";
+      cr_assert(host->HasVersion(version), "%s, seed %u", name, seed);
+      for (int i = 1; i <= 4; ++i) {
+        const std::string id = "i" + std::to_string(i);
+        const auto item = fixture.store.items().find("servers/" + id);
+        const auto known = host->entries.find(id);
+        cr_assert((item != fixture.store.items().end()) == (known != host->entries.end()),
+                  "%s, %s, seed %u", name, id.c_str(), seed);
+        if (known != host->entries.end()) {
+          cr_assert(platform::DecodeReplica(id, item->second.value).value() == known->second,
+                    "%s, %s, seed %u", name, id.c_str(), seed);
+        }
+      }
+    }
+    cr_assert(fixture.counts.era.current() == fixture.store.era(), "seed %u", seed);
+    cr_assert(fixture.follower_counts.era.current() == fixture.store.era(), "seed %u", seed);
+    const std::int64_t lease = fixture.store.LeaseOf("hosts/h1");
+    const std::int64_t other_lease = fixture.store.LeaseOf("hosts/h2");
+    cr_assert(lease != other_lease && fixture.store.HasLease(lease) &&
+                  fixture.store.HasLease(other_lease),
+              "leases %ld and %ld, seed %u", static_cast<long>(lease),
+              static_cast<long>(other_lease), seed);
+  }
+}
+
+namespace {
+
+/** A host's feed and registry, and servers that write entries as the platform's servers do. */
+struct server_fleet_fixture : loop_fixture {
+  static constexpr int kServers = 4;
+
+  struct registry_listener : feed_recorder {
+    registry_listener(replica_registry& known_servers, event_loop& known_loop)
+        : registry(known_servers), loop(known_loop) {}
+    void OnReplicaChanged(const replica& entry) override {
+      if (!registry.HoldBack(entry, loop.Now())) {
+        registry.Put(entry, loop.Now());
+      }
+    }
+    void OnReplicaRemoved(const std::string& id) override { registry.Remove(id, loop.Now()); }
+    void OnStoreHistoryBegun(std::int64_t, std::int64_t) override { registry.BeginHistory(); }
+    replica_registry& registry;
+    event_loop& loop;
+  };
+
+  struct server {
+    bool is_alive = false;
+    bool is_draining = false;
+    int sequence = 0;
+    int started = 0;
+    std::string written;
+    instant next_heartbeat;
+  };
+
+  explicit server_fleet_fixture(unsigned seed)
+      : random(seed),
+        registry("z"),
+        listener(registry, loop),
+        feed(loop, store.address(), counts, ListenOnFreePort(relay_address), 1, listener) {
+    store.SetEra(1);
+    feed.Start();
+    tick = loop.timers().SubscribeEvery(loop.Now(), std::chrono::milliseconds(50),
+                                        [this](instant now) { Tick(now); });
+    lasting =
+        loop.timers().SubscribeEvery(loop.Now(), std::chrono::seconds(1), [this](instant now) {
+          for (const replica& entry : registry.TakeLastingEntries(now)) {
+            registry.Put(entry, now);
+          }
+        });
+  }
+  ~server_fleet_fixture() {
+    loop.timers().Cancel(tick);
+    loop.timers().Cancel(lasting);
+  }
+
+  static std::string Key(int i) { return "servers/i" + std::to_string(i); }
+
+  void Tick(instant now) {
+    for (int i = 0; i < kServers; ++i) {
+      server& item = servers[i];
+      if (!item.is_alive) {
+        // The entry of a process that has ended lapses after three heartbeats.
+        if (now - returned >= std::chrono::milliseconds(3600)) {
+          store.Remove(Key(i));
+        }
+      } else if (now >= item.next_heartbeat) {
+        Report(i);
+      }
+    }
+  }
+
+  /** Writes the entry if the store lacks it or if more than its sequence has changed. */
+  void Report(int i) {
+    server& item = servers[i];
+    item.next_heartbeat = loop.Now() + std::chrono::milliseconds(1200);
+    ++item.sequence;
+    const std::string state = item.is_draining ? "draining" : "ready";
+    const auto known = store.items().find(Key(i));
+    const auto decoded = known == store.items().end()
+                             ? std::nullopt
+                             : std::optional(platform::DecodeReplica("i", known->second.value));
+    if (!decoded || decoded->value().is_draining != item.is_draining ||
+        decoded->value().started_ms != item.started) {
+      store.Write(Key(i), Server(item.sequence, state, item.started));
+    }
+  }
+
+  void Change(int i) {
+    server& item = servers[i];
+    if (!item.is_alive) {
+      item = {.is_alive = true, .started = ++starts, .next_heartbeat = {}};
+      Report(i);
+    } else if (!item.is_draining) {
+      item.is_draining = true;
+      Report(i);
+    } else {
+      item.is_alive = false;
+      store.Remove(Key(i));
+    }
+  }
+
+  random_source random;
+  replica_registry registry;
+  registry_listener listener;
+  socket_address relay_address;
+  platform::control_feed feed;
+  std::array<server, kServers> servers;
+  int starts = 0;
+  instant returned;
+  timer_service::timer_id tick = 0;
+  timer_service::timer_id lasting = 0;
+};
+
+}  // namespace
+
+// Guards against a live server that is lost, and a draining or ended one that is used, after random
+// returns of the store between starts, drains and ends of servers.
+Test(store_copies, the_servers_in_use_are_the_live_ones_after_random_returns) {
+  const char* const first = std::getenv("RANDOM_RETURNS_SEED");
+  const unsigned first_seed = first == nullptr ? 1 : static_cast<unsigned>(std::atoi(first));
+  // Each seed takes 20 to 60 s.
+  for (unsigned seed = first_seed; seed < first_seed + 1; ++seed) {
+    server_fleet_fixture fixture(seed);
+    const auto pick = [&](std::uint64_t bound) {
+      return static_cast<int>(fixture.random.Below(bound));
+    };
+    for (int step = 0; step < 40; ++step) {
+      const int action = pick(12);
+      if (action == 0) {
+        fixture.store.TakeCopy();
+      } else if (action == 1) {
+        fixture.store.SetMode(platform_store::mode_type::silent);
+        fixture.RunFor(std::chrono::milliseconds(pick(900)));
+        fixture.store.ReturnFromCopy();
+        fixture.store.SetMode(platform_store::mode_type::normal);
+        fixture.returned = fixture.loop.UpdateNow();
+      } else if (action == 2) {
+        // A live server is cut off from the store for a while, so that its entry lapses.
+        const int cut = pick(server_fleet_fixture::kServers);
+        fixture.servers[cut].next_heartbeat =
+            fixture.loop.Now() + std::chrono::milliseconds(1000 + pick(3000));
+        fixture.store.Remove(server_fleet_fixture::Key(cut));
+      } else {
+        fixture.Change(pick(server_fleet_fixture::kServers));
+      }
+      fixture.RunFor(std::chrono::milliseconds(pick(pick(3) == 0 ? 1500 : 200) + 1));
+    }
+    fixture.RunFor(std::chrono::seconds(13));
+    for (int i = 0; i < server_fleet_fixture::kServers; ++i) {
+      const auto& server = fixture.servers[i];
+      const auto record = fixture.registry.Find("i" + std::to_string(i));
+      cr_assert((record && IsUsable(*record)) == (server.is_alive && !server.is_draining),
+                "server %d, alive %d, draining %d, seed %u", i, server.is_alive, server.is_draining,
+                seed);
+    }
+  }
+}
