Tests: refusals of a host that starts without the store do not count

It knew no configuration until the return, and the check counted its refusals from 4 s after its start. A process that knows no configuration yet answers 503, and it had no path to the store.

Change: such refusals count from 4 s after the return, as for any host that the disturbance of the store reaches; refusals of a host that has read the store count during an outage as before. A test for each.

--- a/tests/drills/fleet_check.h
+++ b/tests/drills/fleet_check.h
@@ -80,6 +80,9 @@
     std::int64_t number = 0;
   };
 
+  bool IsStoreCalm(instant time) const;
+  /** Whether the process of the host has been able to read the store before `time`. */
+  bool KnowsFleet(const std::string& host, instant time) const;
   bool IsCalm(const std::string& host, instant time) const;
   /** The first entry of `versions_` that a request sent at `sent` may be handled by. */
   std::size_t FirstAllowed(instant sent) const;
--- a/tests/drills/test_fleet_check.cc
+++ b/tests/drills/test_fleet_check.cc
@@ -135,3 +135,28 @@
   Answer(check, kStart + seconds(30), 503, "");
   cr_assert(check.violation_count() == 1);
 }
+
+Test(fleet_check, a_host_that_starts_without_the_store_may_refuse_until_that_is_stable) {
+  fleet_check check = NewCheck();
+  WriteConfig(check, kStart, 1, "north");
+  check.OnStoreAway(kStart + seconds(10));
+  check.OnHostDisturbed(kStart + seconds(11), "host-1");
+  check.OnStoreReturn(kStart + seconds(18));
+  for (int second = 12; second <= 26; ++second) {
+    Answer(check, kStart + seconds(second), 503, "");
+  }
+  cr_assert(check.violation_count() == 0);
+  Answer(check, kStart + seconds(28), 503, "");
+  cr_assert(HasOnly(check, "REFUSED"));
+}
+
+Test(fleet_check, a_host_that_has_read_the_store_serves_during_an_outage) {
+  fleet_check check = NewCheck();
+  WriteConfig(check, kStart, 1, "north");
+  check.OnHostDisturbed(kStart, "host-1");
+  check.OnStoreAway(kStart + seconds(10));
+  for (int second = 11; second <= 16; ++second) {
+    Answer(check, kStart + seconds(second), 503, "");
+  }
+  cr_assert(HasOnly(check, "REFUSED"));
+}
