--- a/tests/drills/drill_plan.cc
+++ b/tests/drills/drill_plan.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** Covers the 4 s after which hosts count as undisturbed, and two versions that are due. */
+/** Covers the 4 s after which hosts count as undisrupted, and two versions that are due. */
 constexpr duration kCalmTime = seconds(11);
 
 duration Between(random_source& random, duration low, duration high) {
--- a/tests/drills/drill_run.cc
+++ b/tests/drills/drill_run.cc
@@ -116,7 +116,7 @@
                             .store_address = store_->address()});
   added.process->Start();
   added.started = loop_.Now();
-  check_.OnHostDisturbed(loop_.Now(), name);
+  check_.OnHostDisrupted(loop_.Now(), name);
   for (int i = 0; i < kCallersOfHost; ++i) {
     const int caller = number * kCallersOfHost + i;
     added.callers.push_back(std::make_unique<drill_caller>(
@@ -311,7 +311,7 @@
   }
   host_process& chosen = *hosts_[choice % hosts_.size()]->process;
   chosen.Kill();
-  check_.OnHostDisturbed(loop_.Now(), chosen.settings().name);
+  check_.OnHostDisrupted(loop_.Now(), chosen.settings().name);
 }
 
 void drill_run::StartHost() {
@@ -319,7 +319,7 @@
     if (!entry->process->IsStarted()) {
       entry->process->Start();
       entry->started = loop_.Now();
-      check_.OnHostDisturbed(loop_.Now(), entry->process->settings().name);
+      check_.OnHostDisrupted(loop_.Now(), entry->process->settings().name);
     }
   }
 }
--- a/tests/drills/fleet_check.cc
+++ b/tests/drills/fleet_check.cc
@@ -61,8 +61,8 @@
   outages_.back().second = now;
 }
 
-void fleet_check::OnHostDisturbed(instant now, const std::string& host) {
-  host_disturbances_[host].push_back(now);
+void fleet_check::OnHostDisrupted(instant now, const std::string& host) {
+  host_disruptions_[host].push_back(now);
   lower_bounds_.erase(host);
 }
 
@@ -73,17 +73,17 @@
 }
 
 bool fleet_check::IsCalm(const std::string& host, instant time) const {
-  const auto found = host_disturbances_.find(host);
+  const auto found = host_disruptions_.find(host);
   return IsStoreCalm(time) &&
-         (found == host_disturbances_.end() ||
-          std::none_of(found->second.begin(), found->second.end(), [&](instant disturbance) {
-            return time >= disturbance && time < disturbance + kStability;
+         (found == host_disruptions_.end() ||
+          std::none_of(found->second.begin(), found->second.end(), [&](instant disruption) {
+            return time >= disruption && time < disruption + kStability;
           }));
 }
 
 bool fleet_check::KnowsFleet(const std::string& host, instant time) const {
-  const auto found = host_disturbances_.find(host);
-  if (found == host_disturbances_.end()) {
+  const auto found = host_disruptions_.find(host);
+  if (found == host_disruptions_.end()) {
     return true;
   }
   // A host that starts while the store is away knows nothing until the store is stable again.
@@ -141,9 +141,9 @@
 void fleet_check::CheckRollback(instant now,
                                 const std::string& host,
                                 const drill_caller::outcome& outcome) {
-  const auto disturbances = host_disturbances_.find(host);
+  const auto disruptions = host_disruptions_.find(host);
   if ((outcome.status != 200 && outcome.status != 404) ||
-      (disturbances != host_disturbances_.end() && disturbances->second.back() >= outcome.sent)) {
+      (disruptions != host_disruptions_.end() && disruptions->second.back() >= outcome.sent)) {
     return;
   }
   std::vector<lower_bound>& bounds = lower_bounds_[host];
--- a/tests/drills/fleet_check.h
+++ b/tests/drills/fleet_check.h
@@ -17,7 +17,7 @@
 
 /**
  * Judges what callers and backend servers see of the hosts against the history of the store. Rules
- * with a time bound hold only while neither the store nor the host has been disturbed for
+ * with a time bound hold only while neither the store nor the host has been disrupted for
  * kStability.
  */
 class fleet_check {
@@ -43,7 +43,7 @@
   void OnStoreAway(instant now);
   void OnStoreReturn(instant now);
   /** The process of a host was started or killed. */
-  void OnHostDisturbed(instant now, const std::string& host);
+  void OnHostDisrupted(instant now, const std::string& host);
   void OnOutcome(instant now, const std::string& host, const drill_caller::outcome& outcome);
   /** A request that a caller sent at `sent` reaches a server. */
   void OnArrival(instant now,
@@ -103,7 +103,7 @@
   std::map<std::string, instant> evacuated_since_;
   /** Begin and end of times in which the store was away; the end of the last one may be open. */
   std::vector<std::pair<instant, std::optional<instant>>> outages_;
-  std::map<std::string, std::vector<instant>> host_disturbances_;
+  std::map<std::string, std::vector<instant>> host_disruptions_;
   std::map<std::pair<std::string, std::string>, refusal> refusals_;
   std::vector<std::string> violations_;
   std::map<std::string, std::size_t> violations_by_rule_;
--- a/tests/drills/test_fleet_check.cc
+++ b/tests/drills/test_fleet_check.cc
@@ -95,7 +95,7 @@
   check.OnStoreAway(kStart + seconds(7));
   WriteConfig(check, kStart + seconds(8), 1, "north");
   check.OnStoreReturn(kStart + seconds(8));
-  check.OnHostDisturbed(kStart + milliseconds(8100), "host-1");
+  check.OnHostDisrupted(kStart + milliseconds(8100), "host-1");
   Answer(check, kStart + milliseconds(8500), 200, "north");
   cr_assert(check.violation_count() == 0);
 }
@@ -140,7 +140,7 @@
   fleet_check check = NewCheck();
   WriteConfig(check, kStart, 1, "north");
   check.OnStoreAway(kStart + seconds(10));
-  check.OnHostDisturbed(kStart + seconds(11), "host-1");
+  check.OnHostDisrupted(kStart + seconds(11), "host-1");
   check.OnStoreReturn(kStart + seconds(18));
   for (int second = 12; second <= 26; ++second) {
     Answer(check, kStart + seconds(second), 503, "");
@@ -153,7 +153,7 @@
 Test(fleet_check, a_host_that_has_read_the_store_serves_during_an_outage) {
   fleet_check check = NewCheck();
   WriteConfig(check, kStart, 1, "north");
-  check.OnHostDisturbed(kStart, "host-1");
+  check.OnHostDisrupted(kStart, "host-1");
   check.OnStoreAway(kStart + seconds(10));
   for (int second = 11; second <= 16; ++second) {
     Answer(check, kStart + seconds(second), 503, "");
