Platform: tests of a returned store to which nothing else is written

In this form no later write raises the revision above the one that the hosts knew, so that they never recover.

The suite had tests in which a version is written at the moment of the return, or after other writes; none waited until the hosts are in touch again, and none had a follower, a drain or an evacuation in that time. Three tests play it now, each of which asserts that the revision stays below the known one.

--- a/tests/platform/test_store_copies.cc
+++ b/tests/platform/test_store_copies.cc
@@ -26,6 +26,9 @@
 // Within this time a host has replaced what it had written.
 constexpr duration kRewriteBound = std::chrono::seconds(5);
 constexpr duration kShortOutage = std::chrono::milliseconds(800);
+constexpr duration kOutage = std::chrono::seconds(2);
+// Longer than the time after which a host that nothing has disturbed counts as in touch.
+constexpr duration kQuietTime = std::chrono::seconds(6);
 // More than were made between the copy and the outage, so that the host's old revision is passed.
 constexpr int kManyWrites = 60;
 constexpr int kWritesAfterCopy = 20;
@@ -86,6 +89,20 @@
     returned = loop.UpdateNow();
   }
 
+  /**
+   * As ComeBack(); the operator and the servers then write again what the copy lacks, and nothing
+   * else is written until all hosts are in touch with the store again.
+   */
+  void ComeBackAndWriteAgain() {
+    ComeBack(kOutage);
+    store.Write("op/config", Config(2));
+    store.Write("op/evacuate/z", "1");
+    store.Write("servers/i1", Server(3));
+    store.Write("servers/i2", Server(3));
+    store.Write("servers/i3", Server(2));
+    RunFor(kQuietTime);
+  }
+
   /** As ComeBack(), and revisions have passed the host's before its first call: it gets no 410. */
   void ComeBackAndPass(const std::string& key, std::string value) {
     ComeBack();
@@ -213,6 +230,46 @@
   fixture.loop.timers().Cancel(writes);
 }
 
+// Guards against hosts that never apply a later version: after the return, everything is written
+// again with fewer writes, so that no revision passes the one that they knew.
+Test(store_copies, a_version_is_applied_when_nothing_else_is_written_after_the_return) {
+  copy_fixture fixture;
+  const std::int64_t known = fixture.store.revision();
+  fixture.ComeBackAndWriteAgain();
+  fixture.store.Write("op/config", Config(3));
+  cr_assert(fixture.store.revision() < known);
+  cr_assert(fixture.HasVersionInTime(fixture.recorded, 3));
+}
+
+// Guards against the same on hosts that follow a relay.
+Test(store_copies, a_follower_applies_a_version_when_nothing_else_is_written_after_the_return) {
+  copy_fixture fixture(true);
+  fixture.follower.SetSource(fixture.relay_address);
+  fixture.follower.Start();
+  fixture.RunUntil([&] { return fixture.follower_recorded.HasVersion(2); });
+  const std::int64_t known = fixture.store.revision();
+  fixture.ComeBackAndWriteAgain();
+  fixture.store.Write("op/config", Config(3));
+  cr_assert(fixture.store.revision() < known);
+  cr_assert(fixture.HasVersionInTime(fixture.follower_recorded, 3));
+}
+
+// Guards against the same with servers that drain or leave and data centres that are taken out.
+Test(store_copies, servers_and_data_centres_change_when_nothing_else_is_written) {
+  copy_fixture fixture;
+  const std::int64_t known = fixture.store.revision();
+  fixture.ComeBackAndWriteAgain();
+  fixture.store.Write("servers/i1", Server(4, "draining"));
+  fixture.store.Remove("servers/i2");
+  fixture.store.Write("op/evacuate/y", "1");
+  cr_assert(fixture.store.revision() < known);
+  cr_assert(fixture.HoldsWithin(kChangeBound, [&] {
+    const auto& entries = fixture.recorded.entries;
+    return entries.contains("i1") && entries.at("i1").is_draining && !entries.contains("i2") &&
+           fixture.recorded.taken_out.contains("y");
+  }));
+}
+
 // Guards against a host that takes only a rise by one for a new era.
 Test(store_copies, a_version_is_applied_when_the_era_has_risen_twice) {
   copy_fixture fixture;
