Membership: directory answers name no host that is silent

Cause: a host probes one member in 500 ms, and what it finds reaches the others with their probes. When few hosts are left, each has to find nearly all of the others itself, in a round of probes whose order is drawn anew, so that the delay grows with the fleet and with the share that is lost. Ruled out: answers that were built too early (they follow each change of a state) and the store's list of hosts (it only adds hosts to probe).

A host that nobody has heard of for 5 s is left out of directory answers, whatever else has ended with it. Member states, and the shares of limits that follow from them, stay as they were. A message carries six updates instead of eight, so that eight messages a second with all fields full stay within 11 KB. New event 941 and metric limpetlever_silent_hosts.

--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -144,6 +144,8 @@
       return "store_load_refused";
     case event_number::peer_state_changed:
       return "peer_state_changed";
+    case event_number::silent_hosts_changed:
+      return "silent_hosts_changed";
     case event_number::log_lines_dropped:
       return "log_lines_dropped";
   }
@@ -222,6 +224,7 @@
       event_number::store_era_changed,
       event_number::store_load_refused,
       event_number::peer_state_changed,
+      event_number::silent_hosts_changed,
       event_number::log_lines_dropped,
   };
   return *numbers;
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -83,6 +83,7 @@
   store_era_changed = 936,
   store_load_refused = 937,
   peer_state_changed = 940,
+  silent_hosts_changed = 941,
   log_lines_dropped = 950,
 };
 
--- a/src/liblimpetlever/membership/host_choice.cc
+++ b/src/liblimpetlever/membership/host_choice.cc
@@ -31,6 +31,9 @@
 // A data centre with fewer hosts than this fraction of the mean per data centre cannot serve its
 // own callers alone.
 constexpr double kMinFractionOfMean = 0.5;
+// Hosts that were chosen for a data centre serve its callers alone while this fraction of them is
+// live.
+constexpr double kMinLiveShare = 0.5;
 
 std::vector<member> MembersInState(const std::vector<member>& members, member_state state) {
   std::vector<member> found;
@@ -139,4 +142,21 @@
   return chosen;
 }
 
+std::vector<member> ChooseLiveHosts(const std::vector<member>& members,
+                                    const std::function<bool(const member&)>& is_live,
+                                    const std::string& data_centre,
+                                    std::size_t max_in_use) {
+  std::vector<member> chosen = ChooseHosts(members, data_centre, max_in_use);
+  const auto chosen_count = static_cast<double>(chosen.size());
+  std::erase_if(chosen, [&is_live](const member& host) { return !is_live(host); });
+  const auto live_count = static_cast<double>(chosen.size());
+  if (live_count == chosen_count ||
+      (chosen.size() >= kMinLocalHosts && live_count >= kMinLiveShare * chosen_count)) {
+    return chosen;
+  }
+  std::vector<member> live;
+  std::copy_if(members.begin(), members.end(), std::back_inserter(live), is_live);
+  return ChooseHosts(live, data_centre, max_in_use);
+}
+
 }  // namespace limpetlever
--- a/src/liblimpetlever/membership/host_choice.h
+++ b/src/liblimpetlever/membership/host_choice.h
@@ -2,6 +2,7 @@
 #define LIMPETLEVER_MEMBERSHIP_HOST_CHOICE_H_
 
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,16 @@
                                 const std::string& data_centre,
                                 std::size_t max_in_use);
 
+/**
+ * As ChooseHosts, without the hosts for which `is_live` is false: they have ended or are cut off,
+ * although `members` does not show it yet. Of the others, those that are in use come first; if few
+ * of these are left, all live members are considered.
+ */
+std::vector<member> ChooseLiveHosts(const std::vector<member>& members,
+                                    const std::function<bool(const member&)>& is_live,
+                                    const std::string& data_centre,
+                                    std::size_t max_in_use);
+
 /**
  * Returns the hosts that callers are sent to: those that are alive or, if there are none, those
  * that are suspect. Of a fleet that is larger than `max_in_use`, these are the hosts with the most
--- a/src/liblimpetlever/membership/member_tracker.cc
+++ b/src/liblimpetlever/membership/member_tracker.cc
@@ -21,8 +21,9 @@
 // A longer time between two calls of Advance means that the process was paused and may have missed
 // answers.
 constexpr duration kPauseThreshold = std::chrono::milliseconds(1000);
-// 8 entries of about 110 bytes, sent twice a second, stay below 2 KB/s.
-constexpr std::size_t kUpdatesPerMessage = 8;
+// Entries have about 120 bytes. With a liveness report of 410 bytes, the eight messages that a host
+// sends and receives in a second stay below 11 KB.
+constexpr std::size_t kUpdatesPerMessage = 6;
 // An update reaches all of n hosts with high probability once each host has sent it a few times
 // log2(n) times.
 constexpr int kSendsPerDoubling = 2;
--- a/src/liblimpetlever/membership/peer_message.cc
+++ b/src/liblimpetlever/membership/peer_message.cc
@@ -19,6 +19,8 @@
 // Key of an update that carries the era of the sender's position. Hosts of an earlier version
 // refuse a message with more fields, and ignore an update that they do not know.
 constexpr const char* kEraKey = "store-era";
+// Key of an update that carries the liveness report, for the same reason.
+constexpr const char* kLivenessKey = "liveness";
 
 void WriteString(rapidjson::Writer<rapidjson::StringBuffer>& writer, const std::string& text) {
   writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
@@ -61,6 +63,9 @@
   if (message.position.era > 0) {
     WriteEntry(writer, {.key = kEraKey, .version = message.position.era});
   }
+  if (!message.liveness_report.empty()) {
+    WriteEntry(writer, {.key = kLivenessKey, .value = message.liveness_report});
+  }
   writer.EndArray();
   writer.EndArray();
   return {text.GetString(), text.GetSize()};
@@ -91,6 +96,8 @@
     }
     if (entry->key == kEraKey) {
       message.position.era = std::clamp<std::int64_t>(entry->version, 0, kMaxOutsideNumber);
+    } else if (entry->key == kLivenessKey) {
+      message.liveness_report = std::move(entry->value);
     } else {
       message.updates.push_back(std::move(*entry));
     }
--- a/src/liblimpetlever/membership/peer_message.h
+++ b/src/liblimpetlever/membership/peer_message.h
@@ -32,6 +32,8 @@
   /** The point of the key-value store's history up to which the sender has seen all changes. */
   store_position position;
   std::vector<gossip_entry> updates;
+  /** A report of liveness_table; empty in messages that carry none. */
+  std::string liveness_report;
 
   bool operator==(const peer_message&) const = default;
 };
--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -96,6 +96,10 @@
       backend_servers_(
           AddGauge(*registry_, "limpetlever_backend_servers", "Known backend servers")),
       hosts_alive_(AddGauge(*registry_, "limpetlever_hosts_alive", "Hosts believed to be alive")),
+      silent_hosts_(
+          AddGauge(*registry_,
+                   "limpetlever_silent_hosts",
+                   "Hosts in use that show no sign of life although they count as alive")),
       log_lines_dropped_(AddGauge(*registry_,
                                   "limpetlever_log_lines_dropped",
                                   "Log lines dropped since the start")),
@@ -181,6 +185,10 @@
   hosts_alive_.Set(count);
 }
 
+void node_metrics::SetSilentHostCount(double count) {
+  silent_hosts_.Set(count);
+}
+
 void node_metrics::SetDroppedLogLines(double count) {
   log_lines_dropped_.Set(count);
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -58,6 +58,8 @@
   /** Number of backend servers known to this host. */
   void SetBackendServerCount(double count);
   void SetLiveHostCount(double count);
+  /** Hosts in use that have shown no sign of life lately, although they count as alive. */
+  void SetSilentHostCount(double count);
   /** Total since the start of the process. */
   void SetDroppedLogLines(double count);
   /** Calls of one kind to the platform's store since the start of the process. */
@@ -91,6 +93,7 @@
   prometheus::Gauge& connections_given_up_;
   prometheus::Gauge& backend_servers_;
   prometheus::Gauge& hosts_alive_;
+  prometheus::Gauge& silent_hosts_;
   prometheus::Gauge& log_lines_dropped_;
   prometheus::Family<prometheus::Gauge>& store_calls_;
   prometheus::Gauge& relay_answers_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -30,6 +30,8 @@
 // leaves continues to serve for 3 times 1.2 s.
 constexpr duration kDirectoryAnswerLifetime = std::chrono::milliseconds(1200);
 constexpr int kMaxLifetimesKept = 3;
+// An answer is used for this time; a host that has ended is silent from one moment to the next.
+constexpr duration kDirectoryAnswerReuse = std::chrono::milliseconds(200);
 // Callers may name data centres that do not exist.
 constexpr std::size_t kMaxDirectoryAnswers = 64;
 // Reserved within the grace time for the exit of the process.
@@ -77,6 +79,7 @@
 constexpr std::size_t kMaxSmallHeaderBytes = 8 * 1024;
 constexpr std::size_t kMaxSmallBodyBytes = 1024;
 constexpr duration kGivenUpLogPeriod = std::chrono::seconds(1);
+constexpr duration kSilentHostsLogPeriod = std::chrono::seconds(1);
 
 std::string FormatAddress(const socket_address& address) {
   return address.ip + ":" + std::to_string(address.port);
@@ -92,6 +95,15 @@
                      [&name](const member& host) { return host.name == name; });
 }
 
+std::vector<std::string> NamesOf(const std::vector<member>& hosts) {
+  std::vector<std::string> names;
+  names.reserve(hosts.size());
+  for (const member& host : hosts) {
+    names.push_back(host.name);
+  }
+  return names;
+}
+
 member MakeSelf(const node_settings& settings) {
   const auto now = ReadWallClock();
   return {.name = settings.name,
@@ -283,6 +295,7 @@
   metrics_.SetLiveHostCount(static_cast<double>(hosts));
   feed_.SetDirectHosts(source_selector::CountDirectHosts(members));
   const auto in_use = SelectHostsInUse(members, MaxHostsInUse());
+  peers_.SetHostsInUse(NamesOf(in_use));
   UpdateRetryShare(in_use, fleet_size_.Update(static_cast<int>(hosts), loop_.Now()));
   UpdateLimitSharers();
   if (query_.table()) {
@@ -293,10 +306,7 @@
 
 void node_server::UpdateLimitSharers() {
   const auto possible = peers_.PossibleHosts();
-  std::vector<std::string> in_use;
-  for (const member& host : SelectHostsInUse(possible, MaxHostsInUse())) {
-    in_use.push_back(host.name);
-  }
+  const auto in_use = NamesOf(SelectHostsInUse(possible, MaxHostsInUse()));
   replicas_.SetLimitSharers(
       limit_sharers(settings_.name, in_use, static_cast<int>(possible.size())), loop_.Now());
 }
@@ -471,25 +481,55 @@
   caller->Answer(head, answer);
 }
 
+bool node_server::MayName(const member& host) const {
+  // A host that has just started has not heard of all others.
+  return !IsViewComplete() || !peers_.IsSilent(host.name);
+}
+
+void node_server::ReportSilentHosts(const std::vector<member>& members) {
+  if (loop_.Now() - silent_hosts_logged_ < kSilentHostsLogPeriod) {
+    return;
+  }
+  std::size_t silent = 0;
+  std::string first;
+  for (const member& host : SelectHostsInUse(members, MaxHostsInUse())) {
+    if (!MayName(host)) {
+      first = silent++ == 0 ? host.name : first;
+    }
+  }
+  metrics_.SetSilentHostCount(static_cast<double>(silent));
+  if (silent != silent_host_count_) {
+    log_.Record(event_number::silent_hosts_changed,
+                {{"silent", silent}, {"before", silent_host_count_}, {"first", first}});
+    silent_host_count_ = silent;
+    silent_hosts_logged_ = loop_.Now();
+  }
+}
+
 const std::string& node_server::DirectoryAnswer(const std::string& data_centre) {
-  if (const auto kept = directory_answers_.find(data_centre); kept != directory_answers_.end()) {
-    return kept->second;
+  if (const auto kept = directory_answers_.find(data_centre);
+      kept != directory_answers_.end() && loop_.Now() - kept->second.made < kDirectoryAnswerReuse) {
+    return kept->second.text;
   }
   if (directory_answers_.size() >= kMaxDirectoryAnswers) {
     directory_answers_.clear();
   }
-  const auto hosts = ChooseHosts(peers_.Members(), data_centre, MaxHostsInUse());
-  std::string answer;
+  const auto members = peers_.Members();
+  ReportSilentHosts(members);
+  const auto hosts = ChooseLiveHosts(
+      members, [this](const member& host) { return MayName(host); }, data_centre, MaxHostsInUse());
+  directory_answer answer{.made = loop_.Now()};
   if (!hosts.empty()) {
-    answer = platform::EncodeDirectoryAnswer(
+    answer.text = platform::EncodeDirectoryAnswer(
         hosts, std::min(kDirectoryAnswerLifetime, settings_.max_advice_lifetime));
   }
-  return directory_answers_.emplace(data_centre, std::move(answer)).first->second;
+  return directory_answers_.insert_or_assign(data_centre, std::move(answer)).first->second.text;
 }
 
 void node_server::OnPause(duration pause) {
   log_.Record(event_number::node_resumed, {{"paused_ms", pause}});
   query_.Suspend(loop_.Now() + kMaxSuspension);
+  peers_.OnPause(pause);
   feed_.CatchUp();
 }
 
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -61,6 +61,10 @@
   void HandleDirectory(const std::shared_ptr<server_connection>& caller);
   /** The directory answer for callers in `data_centre`; empty if there is no host to name. */
   const std::string& DirectoryAnswer(const std::string& data_centre);
+  /** Whether callers may be sent to the host, a member that counts as alive. */
+  bool MayName(const member& host) const;
+  /** Logs it if other members than before are silent. */
+  void ReportSilentHosts(const std::vector<member>& members);
   void HandleMetrics(const std::shared_ptr<server_connection>& caller);
   /** Reads the settings file again; `cause` goes into the log. */
   void Reload(const char* cause);
@@ -142,8 +146,15 @@
   http_server readiness_;
   http_server metrics_server_;
   std::unique_ptr<http_server> directory_;
+  struct directory_answer {
+    std::string text;
+    instant made;
+  };
   /** Directory answers by the caller's data centre, until the hosts or the configuration change. */
-  std::map<std::string, std::string> directory_answers_;
+  std::map<std::string, directory_answer> directory_answers_;
+  /** Hosts in use that were silent, as last logged. */
+  std::size_t silent_host_count_ = 0;
+  instant silent_hosts_logged_;
   recent_maximum fleet_size_;
   recent_maximum hosts_in_use_;
   source_selector source_;
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -31,6 +31,8 @@
 constexpr std::uint64_t kFirstRelayedProbeId = std::uint64_t{1} << 40;
 constexpr std::size_t kMaxRelayedProbes = 256;
 constexpr std::size_t kMaxReadsPerWakeup = 32;
+// Messages that arrived while the process was paused are read within this time after it.
+constexpr duration kBacklogTime = std::chrono::milliseconds(200);
 // Hosts to which one host sends a new revision. As every host does so, each one receives it.
 constexpr std::size_t kRevisionFanOut = 16;
 
@@ -62,6 +64,7 @@
       seed_(seed),
       random_(seed + 1),
       tracker_(std::move(self), seed, loop.Now()),
+      liveness_(self_.name),
       next_relayed_id_(kFirstRelayedProbeId),
       started_(loop.Now()) {
   watch_.WantRead(true);
@@ -114,6 +117,14 @@
   return members;
 }
 
+bool peer_service::IsSilent(const std::string& name) const {
+  return !liveness_.IsLive(name, loop_.Now()) && liveness_.IsComplete(loop_.Now());
+}
+
+void peer_service::OnPause(duration pause) {
+  liveness_.OnPause(pause, loop_.Now());
+}
+
 std::string peer_service::FindAddress(const std::string& name) const {
   if (const auto known = tracker_.Find(name)) {
     return known->peer_address;
@@ -133,6 +144,11 @@
 
 void peer_service::Send(const std::string& address, peer_message message) {
   message.position = position_;
+  // Other messages may go to all hosts at once.
+  if (message.kind == peer_message::kind_type::ping ||
+      message.kind == peer_message::kind_type::ack) {
+    message.liveness_report = liveness_.Report(loop_.Now());
+  }
   const auto parsed = ParseSocketAddress(address);
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -213,8 +229,20 @@
   }
 }
 
+instant peer_service::EarliestReceipt() const {
+  const auto& pause = loop_.last_pause();
+  const bool is_backlog = loop_.Now() - pause.end < kBacklogTime;
+  return is_backlog ? pause.end - pause.length : loop_.Now();
+}
+
 void peer_service::HandleMessage(const peer_message& message, const socket_address& from) {
   ApplyUpdates(message.updates);
+  if (!message.liveness_report.empty()) {
+    liveness_.Merge(message.liveness_report, EarliestReceipt());
+  } else if (message.kind != peer_message::kind_type::update) {
+    // A host of an earlier version, or one that asks for a relayed probe.
+    liveness_.OnMessage(FindName(FormatAddress(from)), EarliestReceipt());
+  }
   if (message.position > newest_peer_position_) {
     if (newest_peer_position_ <= position_) {
       behind_since_ = loop_.Now();
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -11,6 +11,7 @@
 #include "base/random_source.h"
 #include "control/gossip_entry.h"
 #include "control/store_position.h"
+#include "membership/liveness_table.h"
 #include "membership/member.h"
 #include "membership/member_tracker.h"
 #include "membership/peer_message.h"
@@ -50,6 +51,15 @@
    * same on both sides of a partition.
    */
   std::vector<member> PossibleHosts() const;
+  /**
+   * Whether a member that counts as alive has ended or is cut off: it has shown no sign of life
+   * lately, neither to this host nor to one that has told it. Its state may follow much later.
+   */
+  bool IsSilent(const std::string& name) const;
+  /** Sets the hosts that callers use, which the hosts report on first. */
+  void SetHostsInUse(const std::vector<std::string>& names) { liveness_.SetHostsInUse(names); }
+  /** This process was paused and has received nothing in that time. */
+  void OnPause(duration pause);
   /** Sets the function to call when Members() has changed. */
   void OnMembersChanged(std::function<void()> call) { on_members_changed_ = std::move(call); }
   /**
@@ -108,6 +118,8 @@
   void OnReadable() override;
   void OnWritable() override {}
   void HandleMessage(const peer_message& message, const socket_address& from);
+  /** When a message that was just read may have been received: before a pause, or now. */
+  instant EarliestReceipt() const;
   void ApplyUpdates(const std::vector<gossip_entry>& updates);
   /**
    * Takes a new incarnation if `entry` has a greater one for this host's name. Only an earlier
@@ -134,6 +146,7 @@
   std::uint64_t seed_;
   random_source random_;
   member_tracker tracker_;
+  liveness_table liveness_;
   /** Hosts registered in the store by name, whether or not they have sent a message. */
   std::map<std::string, member> registered_;
   /** The state last logged for each host. */
--- a/tests/membership/test_peer_message.cc
+++ b/tests/membership/test_peer_message.cc
@@ -12,7 +12,8 @@
           .probe_id = 12345678901234567ULL,
           .target = "10.0.0.1:700",
           .position = {.era = 3, .revision = 42},
-          .updates = {{.key = "member/a", .incarnation = 5, .version = 9, .value = "r\nd\nx\ny"}}};
+          .updates = {{.key = "member/a", .incarnation = 5, .version = 9, .value = "r\nd\nx\ny"}},
+          .liveness_report = "abcde0"};
 }
 
 }  // namespace
