--- a/src/liblimpetlever/config/service_settings.h
+++ b/src/liblimpetlever/config/service_settings.h
@@ -12,6 +12,8 @@
   std::string name;
   /** Maximum number of connections to one backend server from all hosts together. */
   int max_connections = 0;
+  /** Path of the health check of a backend server; empty if there is none. */
+  std::string health_path = {};
   /** Duration of a backend server's warm-up after its start. */
   duration warm_up{};
   /** Requests per second that a cold backend server can handle; 0 if not configured. */
--- a/src/liblimpetlever/events/event_number.cc
+++ b/src/liblimpetlever/events/event_number.cc
@@ -142,6 +142,8 @@
       return "store_era_changed";
     case event_number::store_load_refused:
       return "store_load_refused";
+    case event_number::replica_cold:
+      return "replica_cold";
     case event_number::peer_state_changed:
       return "peer_state_changed";
     case event_number::silent_hosts_changed:
@@ -223,6 +225,7 @@
       event_number::source_chosen,
       event_number::store_era_changed,
       event_number::store_load_refused,
+      event_number::replica_cold,
       event_number::peer_state_changed,
       event_number::silent_hosts_changed,
       event_number::log_lines_dropped,
--- a/src/liblimpetlever/events/event_number.h
+++ b/src/liblimpetlever/events/event_number.h
@@ -82,6 +82,7 @@
   source_chosen = 935,
   store_era_changed = 936,
   store_load_refused = 937,
+  replica_cold = 938,
   peer_state_changed = 940,
   silent_hosts_changed = 941,
   log_lines_dropped = 950,
--- a/src/liblimpetlever/query/query_plan.cc
+++ b/src/liblimpetlever/query/query_plan.cc
@@ -274,6 +274,7 @@
   target->load.OnSent(now);
   target->limit.OnSent(now);
   target->pause.OnSent(now);
+  target->warm_up.OnSent(now);
   remote_attempts_ += target->is_local ? 0 : 1;
   actions.push_back({.kind = query_action::kind_type::send,
                      .attempt = attempt,
@@ -430,8 +431,8 @@
   }
   const auto target = ChooseUntried(shard, now);
   // Don't spend the retry budget on a server that is not expected to answer in time either, nor
-  // the requests of a server in need on a second answer.
-  if (!target || target->limit.IsNamed() ||
+  // the requests of a server that is cold or in need on a second answer.
+  if (!target || target->limit.IsNamed() || target->warm_up.IsLimiting(now) ||
       now + ExpectedLatency(*target, choice_options_, now) > answer_by_) {
     return;
   }
--- a/src/liblimpetlever/replicas/admission.cc
+++ b/src/liblimpetlever/replicas/admission.cc
@@ -5,6 +5,7 @@
 #include "replicas/replica_record.h"
 #include "replicas/replica_registry.h"
 #include "replicas/server_notice.h"
+#include "replicas/waiting_request.h"
 
 namespace limpetlever {
 
@@ -13,6 +14,8 @@
 // A server that drains, or whose entry was removed, serves for 3 s after the store has confirmed it
 // (drainMs). This host hears of it later, and the request still has to run.
 constexpr duration kMaxWaitAfterExclusion = std::chrono::seconds(1);
+// Requests that were chosen for a cold server at even intervals must not arrive there together.
+constexpr duration kMaxWaitWhileCold = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -44,11 +47,22 @@
   }
 }
 
-waiting_decision DecideWaiting(const replica_record& record, instant now) {
+waiting_decision DecideWaiting(const replica_record& record,
+                               const waiting_request& request,
+                               instant now) {
   // Another server at its address would refuse the request.
   if (record.pause.IsPausing(now) || record.is_misdirected) {
     return waiting_decision::leave;
   }
+  if (record.is_replaced && record.warm_up.IsConfigured()) {
+    // The process that is cold now may have the same address and id.
+    return waiting_decision::leave;
+  }
+  const bool has_part =
+      request.is_within_warm_up_limit && now - request.chosen <= kMaxWaitWhileCold;
+  if (record.warm_up.IsLimiting(now) && !has_part) {
+    return waiting_decision::leave;
+  }
   if (!record.excluded_since) {
     return waiting_decision::stay;
   }
@@ -62,12 +76,15 @@
   }
   const instant after_pause = record.pause.NextSend(now);
   const instant within_limit = record.limit.NextSend(now);
-  const instant next = std::max(after_pause, within_limit);
+  const instant within_warm_up = record.warm_up.NextSend(now);
+  const instant next = std::max({after_pause, within_limit, within_warm_up});
   if (next <= now) {
     return {.reason = exclusion::none, .next = now};
   }
-  return {.reason = after_pause >= within_limit ? exclusion::pause : exclusion::limit,
-          .next = next};
+  const exclusion reason = after_pause == next    ? exclusion::pause
+                           : within_limit == next ? exclusion::limit
+                                                  : exclusion::cold;
+  return {.reason = reason, .next = next};
 }
 
 admission CheckAdmission(const replica_registry& replicas,
--- a/src/liblimpetlever/replicas/admission.h
+++ b/src/liblimpetlever/replicas/admission.h
@@ -13,6 +13,7 @@
 class replica_registry;
 struct replica_record;
 struct server_notice;
+struct waiting_request;
 
 /**
  * Whether a backend server may be sent a request, and if not, why. This is the only place that
@@ -43,7 +44,9 @@
  * What happens to a request that waits for a connection to the server. Depends on the time: a
  * server that leaves serves for some time only.
  */
-waiting_decision DecideWaiting(const replica_record& record, instant now);
+waiting_decision DecideWaiting(const replica_record& record,
+                               const waiting_request& request,
+                               instant now);
 
 /** Applies what an answer says. `spread` (0 to 1) is random; see request_pause::OnAsked. */
 void ApplyNotice(replica_record& record, const server_notice& notice, instant now, double spread);
--- a/src/liblimpetlever/replicas/exclusion.cc
+++ b/src/liblimpetlever/replicas/exclusion.cc
@@ -20,6 +20,8 @@
       return "pause";
     case exclusion::limit:
       return "limit";
+    case exclusion::cold:
+      return "cold";
   }
   return "unknown";
 }
--- a/src/liblimpetlever/replicas/exclusion.h
+++ b/src/liblimpetlever/replicas/exclusion.h
@@ -19,10 +19,12 @@
   /** The server wants no request from this host for some time. */
   pause,
   /** The server limits the requests of all hosts together. */
-  limit
+  limit,
+  /** The server is cold, and the configuration limits the requests of all hosts together. */
+  cold
 };
 
-inline constexpr int kExclusionCount = static_cast<int>(exclusion::limit) + 1;
+inline constexpr int kExclusionCount = static_cast<int>(exclusion::cold) + 1;
 
 /** The enumerator's name. */
 const char* ToString(exclusion reason);
--- a/src/liblimpetlever/replicas/replica_record.h
+++ b/src/liblimpetlever/replicas/replica_record.h
@@ -6,6 +6,7 @@
 #include "base/time_types.h"
 #include "limits/request_limit.h"
 #include "limits/request_pause.h"
+#include "limits/warm_up_limit.h"
 #include "replicas/replica.h"
 #include "replicas/replica_load.h"
 
@@ -22,6 +23,8 @@
   request_limit limit;
   /** The pause that the server wants from this host. */
   request_pause pause;
+  /** The limit that the configuration names for the time in which the server is cold. */
+  warm_up_limit warm_up;
   /** End of the warm-up, during which the server is slower and has less capacity. */
   instant cold_until;
   /** False once it is no longer registered. */
@@ -29,6 +32,8 @@
   bool is_data_centre_out = false;
   /** Whether another server has answered at its address. */
   bool is_misdirected = false;
+  /** Whether another process has registered under its id. */
+  bool is_replaced = false;
   /** Whether an answer of this process has said that it is leaving. */
   bool is_leaving = false;
   /** Since when LastingExclusion has a reason; see UpdateExclusion. */
--- a/src/liblimpetlever/replicas/replica_registry.cc
+++ b/src/liblimpetlever/replicas/replica_registry.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "config/service_settings.h"
 #include "replicas/admission.h"
 #include "replicas/replica_record.h"
 
@@ -47,21 +48,36 @@
       Update(record, registered, now);
       return was_usable != IsUsable(record);
     }
+    record.is_replaced = true;
     Remove(registered.id, now);
   }
   auto record = TakeRemoved(registered, now);
   if (!record) {
     record = std::make_shared<replica_record>();
     record->is_local = registered.data_centre == own_data_centre_;
-    record->limit.SetShare(sharers_.ShareOf(registered.id), now);
   }
   Update(*record, registered, now);
+  ApplyLimits(*record, now);
   by_service_[registered.service].push_back(record);
   by_id_.emplace(registered.id, std::move(record));
   return true;
 }
 
+void replica_registry::ApplyLimits(replica_record& record, instant now) const {
+  const limit_share share = sharers_.ShareOf(record.registered.id);
+  record.limit.SetShare(share, now);
+  const auto settings = warm_up_settings_.find(record.registered.service);
+  const warm_up_settings applied =
+      settings == warm_up_settings_.end() ? warm_up_settings{} : settings->second;
+  record.warm_up.SetService(applied.requests_per_s, applied.warm_up, now);
+  record.warm_up.SetShare(share, is_settled_, now);
+}
+
 void replica_registry::Update(replica_record& record, const replica& registered, instant now) {
+  if (registered != record.registered) {
+    // An entry that is only read again says nothing new of the time since it was written.
+    record.warm_up.OnColdUntil(now + registered.warm_up_left, now);
+  }
   record.registered = registered;
   record.cold_until = now + registered.warm_up_left;
   record.is_registered = true;
@@ -146,7 +162,6 @@
   }
   auto record = std::move(found->second.record);
   removed_.erase(found);
-  record->limit.SetShare(sharers_.ShareOf(registered.id), now);
   return record;
 }
 
@@ -170,13 +185,31 @@
   return true;
 }
 
-void replica_registry::SetLimitSharers(limit_sharers sharers, instant now) {
-  if (sharers == sharers_) {
+void replica_registry::SetLimitSharers(limit_sharers sharers, bool is_settled, instant now) {
+  if (sharers == sharers_ && is_settled == is_settled_) {
     return;
   }
   sharers_ = std::move(sharers);
+  is_settled_ = is_settled;
   for (const auto& [id, record] : by_id_) {
-    record->limit.SetShare(sharers_.ShareOf(id), now);
+    ApplyLimits(*record, now);
+  }
+}
+
+void replica_registry::SetServices(const std::vector<service_settings>& services, instant now) {
+  std::unordered_map<std::string, warm_up_settings> settings;
+  for (const service_settings& service : services) {
+    if (service.cold_requests_per_s > 0.0) {
+      settings[service.name] = {.requests_per_s = service.cold_requests_per_s,
+                                .warm_up = service.warm_up};
+    }
+  }
+  if (settings == warm_up_settings_) {
+    return;
+  }
+  warm_up_settings_ = std::move(settings);
+  for (const auto& [id, record] : by_id_) {
+    ApplyLimits(*record, now);
   }
 }
 
@@ -192,6 +225,12 @@
   return found == by_id_.end() ? nullptr : found->second;
 }
 
+std::size_t replica_registry::CountCold(instant now) const {
+  return static_cast<std::size_t>(
+      std::count_if(by_id_.begin(), by_id_.end(),
+                    [now](const auto& item) { return item.second->warm_up.IsLimiting(now); }));
+}
+
 std::vector<std::string> replica_registry::Ids() const {
   std::vector<std::string> ids;
   ids.reserve(by_id_.size());
--- a/src/liblimpetlever/replicas/replica_registry.h
+++ b/src/liblimpetlever/replicas/replica_registry.h
@@ -16,6 +16,7 @@
 namespace limpetlever {
 
 struct replica_record;
+struct service_settings;
 
 /**
  * The registered backend servers by service, and the data centres that operators have taken out.
@@ -60,8 +61,13 @@
   /** Sets the data centres whose servers get no attempts. Returns whether the set has changed. */
   bool SetTakenOut(std::set<std::string> data_centres, instant now);
 
-  /** Sets the hosts that share the limits of the servers. */
-  void SetLimitSharers(limit_sharers sharers, instant now);
+  /**
+   * Sets the hosts that share the limits of the servers. `is_settled` is false on a host that does
+   * not know all others yet; it has no part in the limits of cold servers.
+   */
+  void SetLimitSharers(limit_sharers sharers, bool is_settled, instant now);
+  /** Sets what the configuration says of the services. */
+  void SetServices(const std::vector<service_settings>& services, instant now);
 
   /** All known servers of a service, usable or not. */
   const record_list& FindByService(const std::string& service) const;
@@ -69,12 +75,16 @@
   std::shared_ptr<replica_record> Find(const std::string& id) const;
   std::vector<std::string> Ids() const;
   std::size_t size() const { return by_id_.size(); }
+  /** Number of servers to which requests are limited since they are, or may be, cold. */
+  std::size_t CountCold(instant now) const;
   const std::set<std::string>& taken_out() const { return taken_out_; }
   const std::string& own_data_centre() const { return own_data_centre_; }
 
  private:
   /** Applies an entry of the process that `record` stands for. */
   void Update(replica_record& record, const replica& registered, instant now);
+  /** Applies to a record what the configuration says of its service, and its hosts. */
+  void ApplyLimits(replica_record& record, instant now) const;
   void RemoveFromService(const std::shared_ptr<replica_record>& record);
   /** Returns the record of a removed server if `registered` is the same process. */
   std::shared_ptr<replica_record> TakeRemoved(const replica& registered, instant now);
@@ -99,6 +109,14 @@
   std::unordered_map<std::string, held_back_entry> held_back_;
   std::set<std::string> taken_out_;
   limit_sharers sharers_;
+  bool is_settled_ = false;
+  struct warm_up_settings {
+    double requests_per_s = 0.0;
+    duration warm_up{};
+    bool operator==(const warm_up_settings&) const = default;
+  };
+  /** By service; those without a limit for cold servers are left out. */
+  std::unordered_map<std::string, warm_up_settings> warm_up_settings_;
 };
 
 }  // namespace limpetlever
--- a/src/limpetlever/node/node_metrics.cc
+++ b/src/limpetlever/node/node_metrics.cc
@@ -57,6 +57,9 @@
       retry_budget_exhausted_(AddCounter(*registry_,
                                          "limpetlever_retry_budget_empty_total",
                                          "Hedges and retries that the budget did not allow")),
+      health_checks_(AddCounter(*registry_,
+                                "limpetlever_health_checks_total",
+                                "Health checks sent to backend servers")),
       connections_opened_(AddCounter(*registry_,
                                      "limpetlever_connections_opened_total",
                                      "Connections opened to backend servers")),
@@ -95,6 +98,9 @@
                    "Connections given up for want of memory or connections since the start")),
       backend_servers_(
           AddGauge(*registry_, "limpetlever_backend_servers", "Known backend servers")),
+      cold_servers_(AddGauge(*registry_,
+                             "limpetlever_cold_servers",
+                             "Backend servers whose requests are limited since they are cold")),
       hosts_alive_(AddGauge(*registry_, "limpetlever_hosts_alive", "Hosts believed to be alive")),
       silent_hosts_(
           AddGauge(*registry_,
@@ -141,6 +147,10 @@
   retry_budget_exhausted_.Increment(count);
 }
 
+void node_metrics::OnHealthCheck() {
+  health_checks_.Increment();
+}
+
 void node_metrics::OnConnectionOpened() {
   connections_opened_.Increment();
 }
@@ -181,6 +191,10 @@
   backend_servers_.Set(count);
 }
 
+void node_metrics::SetColdServerCount(double count) {
+  cold_servers_.Set(count);
+}
+
 void node_metrics::SetLiveHostCount(double count) {
   hosts_alive_.Set(count);
 }
--- a/src/limpetlever/node/node_metrics.h
+++ b/src/limpetlever/node/node_metrics.h
@@ -37,6 +37,7 @@
   /** Counts `count` hedges or retries that the retry budget did not allow. */
   void OnRetryBudgetExhausted(int count);
   void OnConnectionOpened();
+  void OnHealthCheck();
   /** Counts an entry of the store that cannot be read. */
   void OnEntryRefused();
   /** Counts an exception that ended the handling of one event. */
@@ -57,6 +58,8 @@
   void SetCallerMemory(double bytes, double given_up);
   /** Number of backend servers known to this host. */
   void SetBackendServerCount(double count);
+  /** Backend servers to which requests are limited since they are, or may be, cold. */
+  void SetColdServerCount(double count);
   void SetLiveHostCount(double count);
   /** Hosts in use that have shown no sign of life lately, although they count as alive. */
   void SetSilentHostCount(double count);
@@ -79,6 +82,7 @@
   prometheus::Counter& callers_disconnected_;
   prometheus::Counter& attempts_failed_;
   prometheus::Counter& retry_budget_exhausted_;
+  prometheus::Counter& health_checks_;
   prometheus::Counter& connections_opened_;
   prometheus::Counter& entries_refused_;
   prometheus::Counter& unexpected_errors_;
@@ -92,6 +96,7 @@
   prometheus::Gauge& caller_bytes_;
   prometheus::Gauge& connections_given_up_;
   prometheus::Gauge& backend_servers_;
+  prometheus::Gauge& cold_servers_;
   prometheus::Gauge& hosts_alive_;
   prometheus::Gauge& silent_hosts_;
   prometheus::Gauge& log_lines_dropped_;
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -206,6 +206,12 @@
       [this](const crash_report& report) { crash_reports_.Write(ToGossipEntry(report)); });
   query_.crashes().OnReport(
       [this](const crash_report& report) { peers_.BroadcastCrashReport(report); });
+  peers_.OnColdServer(
+      [this](const std::string& id, duration left) { OnColdServer(id, left, "peer"); });
+  pools_.OnColdServer([this](const std::string& id, duration left) {
+    OnColdServer(id, left, "health");
+    peers_.BroadcastColdServer(id, left);
+  });
   pools_.OnConnectionRefused([this](const std::string& id) { query_.crashes().OnReplicaDown(id); });
   peers_.OnRejoin(
       [this] { registration_.ReplaceValue(platform::EncodeEntry(peers_.SelfEntry())); });
@@ -308,13 +314,19 @@
   const auto possible = peers_.PossibleHosts();
   const auto in_use = NamesOf(SelectHostsInUse(possible, MaxHostsInUse()));
   replicas_.SetLimitSharers(
-      limit_sharers(settings_.name, in_use, static_cast<int>(possible.size())), loop_.Now());
+      limit_sharers(settings_.name, in_use, static_cast<int>(possible.size())), KnowsAllHosts(),
+      loop_.Now());
 }
 
 bool node_server::IsViewComplete() const {
   return loop_.Now() - started_ >= kViewConvergenceTime;
 }
 
+bool node_server::KnowsAllHosts() const {
+  // After an outage of the store, or together with it, all hosts may be registering again.
+  return IsViewComplete() && hosts_read_ && loop_.Now() - *hosts_read_ >= kViewConvergenceTime;
+}
+
 std::string node_server::CurrentSource() const {
   return source_.current().empty() ? "store" : source_.current();
 }
@@ -444,6 +456,7 @@
   metrics_.SetCallerMemory(static_cast<double>(callers_.memory().held_bytes()),
                            static_cast<double>(given_up_count_));
   metrics_.SetBackendServerCount(static_cast<double>(replicas_.size()));
+  metrics_.SetColdServerCount(static_cast<double>(replicas_.CountCold(loop_.Now())));
   for (std::size_t i = 0; i < platform::kStoreCallKinds; ++i) {
     const auto kind = static_cast<platform::store_call>(i);
     metrics_.SetStoreCalls(platform::ToString(kind), static_cast<double>(store_calls_.Of(kind)));
@@ -572,6 +585,7 @@
                                              {"revision", feed_.position().revision}});
   metrics_.SetConfigVersion(static_cast<double>(table->version()));
   callers_.SetLimits(table->limits());
+  replicas_.SetServices(table->services(), loop_.Now());
   query_.SetRouteTable(std::move(table));
   has_unannounced_config_ = true;
   UpdateShares();
@@ -599,7 +613,10 @@
   if (known && known->registered.started_ms != registered.started_ms) {
     query_.crashes().OnReplicaDown(registered.id);
   }
-  if (replicas_.Put(registered, loop_.Now())) {
+  const bool was_limited = known && known->warm_up.IsLimiting(loop_.Now());
+  const bool has_changed = replicas_.Put(registered, loop_.Now());
+  ReportColdServer(*replicas_.Find(registered.id), was_limited, "entry");
+  if (has_changed) {
     log_.Record(event_number::replica_changed,
                 {{"replica", registered.id},
                  {"service", registered.service},
@@ -609,6 +626,29 @@
   }
 }
 
+void node_server::OnColdServer(const std::string& id, duration left, const char* source) {
+  const auto record = replicas_.Find(id);
+  if (!record || !record->warm_up.IsConfigured()) {
+    return;
+  }
+  const instant now = loop_.Now();
+  const bool was_limited = record->warm_up.IsLimiting(now);
+  record->warm_up.OnColdUntil(std::max(record->warm_up.cold_until(), now + left), now);
+  ReportColdServer(*record, was_limited, source);
+}
+
+void node_server::ReportColdServer(const replica_record& record,
+                                   bool was_limited,
+                                   const char* source) {
+  const instant now = loop_.Now();
+  if (!was_limited && record.warm_up.IsLimiting(now)) {
+    log_.Record(event_number::replica_cold, {{"replica", record.registered.id},
+                                             {"service", record.registered.service},
+                                             {"for_ms", record.warm_up.cold_until() - now},
+                                             {"source", source}});
+  }
+}
+
 void node_server::OnReplicaRemoved(const std::string& id) {
   const auto known = replicas_.Find(id);
   const bool has_left_as_planned = known && (known->registered.is_draining || known->is_leaving);
@@ -656,6 +696,11 @@
   }
   directory_answers_.clear();
   peers_.SetRegisteredHosts(hosts);
+  if (!hosts_read_) {
+    hosts_read_ = loop_.Now();
+    loop_.timers().Subscribe(loop_.Now() + kViewConvergenceTime,
+                             [this](instant) { UpdateLimitSharers(); });
+  }
   UpdateLimitSharers();
 }
 
--- a/src/limpetlever/node/node_server.h
+++ b/src/limpetlever/node/node_server.h
@@ -69,6 +69,10 @@
   /** Reads the settings file again; `cause` goes into the log. */
   void Reload(const char* cause);
   void CheckSettingsFile();
+  /** A health check of this host or of another one has found a backend server cold. */
+  void OnColdServer(const std::string& id, duration left, const char* source);
+  /** Logs it if requests to a server are limited since it is cold, and were not before. */
+  void ReportColdServer(const replica_record& record, bool was_limited, const char* source);
   /** Uses what a backend server says of itself in its entry. */
   void ApplyReplica(const replica& registered);
   /** Announces a new store revision to other hosts, or catches up if they have a newer one. */
@@ -84,6 +88,8 @@
   void UpdateLimitSharers();
   /** Whether this host has run long enough for its view of the fleet to be complete. */
   bool IsViewComplete() const;
+  /** Whether it has also known the registered hosts for as long. */
+  bool KnowsAllHosts() const;
   /**
    * Chooses whether this host reads store changes from the store or from another host, and whether
    * it relays them. `cause` goes into the log.
@@ -159,6 +165,8 @@
   recent_maximum hosts_in_use_;
   source_selector source_;
   instant started_;
+  /** When the registered hosts were first read. */
+  std::optional<instant> hosts_read_;
   /** Connections given up since the start. */
   std::int64_t given_up_count_ = 0;
   std::int64_t logged_given_up_count_ = 0;
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "base/bounded_number.h"
 #include "base/socket_address.h"
 #include "limits/crash_report.h"
 #include "membership/member_entry.h"
@@ -44,6 +45,10 @@
 
 // Key of an update on a backend server that no longer names a limit; its id follows.
 constexpr std::string_view kLimitEndedPrefix = "limit-ended/";
+// Key of an update on a backend server that is cold; its id follows. The version is the time for
+// which it is, in milliseconds.
+constexpr std::string_view kColdPrefix = "cold/";
+constexpr duration kMaxColdTime = std::chrono::minutes(10);
 
 std::string FormatAddress(const socket_address& address) {
   return address.ip + ":" + std::to_string(address.port);
@@ -224,6 +229,13 @@
       }
       continue;
     }
+    if (entry.key.starts_with(kColdPrefix)) {
+      const duration left = BoundedMilliseconds(static_cast<double>(entry.version), kMaxColdTime);
+      if (on_cold_server_ && left > duration::zero()) {
+        on_cold_server_(entry.key.substr(kColdPrefix.size()), left);
+      }
+      continue;
+    }
     RejoinIfOutdated(entry);
     tracker_.MergeEntry(entry, loop_.Now());
   }
@@ -337,6 +349,11 @@
   Broadcast({.key = std::string(kLimitEndedPrefix) + server});
 }
 
+void peer_service::BroadcastColdServer(const std::string& server, duration left) {
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+  Broadcast({.key = std::string(kColdPrefix) + server, .version = ms});
+}
+
 std::vector<member> peer_service::PossibleHosts() const {
   std::map<std::string, member> hosts = registered_;
   for (const member& host : tracker_.Members()) {
--- a/src/limpetlever/node/peer_service.h
+++ b/src/limpetlever/node/peer_service.h
@@ -82,6 +82,12 @@
   }
   /** Tells all hosts that `server` no longer names a limit. */
   void BroadcastLimitEnded(const std::string& server);
+  /** Sets the function to call with a server that another host has found cold for `left`. */
+  void OnColdServer(std::function<void(const std::string& server, duration left)> call) {
+    on_cold_server_ = std::move(call);
+  }
+  /** Tells all hosts that `server` is cold for `left`. */
+  void BroadcastColdServer(const std::string& server, duration left);
   /** Marks this host as leaving and sends that to all hosts. */
   void Leave();
   /**
@@ -159,6 +165,7 @@
   std::function<void()> on_rejoin_;
   std::function<void(const crash_report&)> on_crash_report_;
   std::function<void(const std::string&)> on_limit_ended_;
+  std::function<void(const std::string&, duration)> on_cold_server_;
   std::uint64_t next_relayed_id_;
   std::uint64_t reported_change_count_ = 0;
   instant started_;
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -196,6 +196,9 @@
   attempt->is_head = query->writer.IsHead();
   attempt->priority = query->plan.matched_route().priority;
   attempt->deadline = query->plan.deadline();
+  const instant now = loop_.Now();
+  attempt->waiting = {.chosen = now,
+                      .is_within_warm_up_limit = action.target->warm_up.IsLimiting(now)};
   attempt->on_response = [this, query, number = action.attempt](http_message& response) {
     return OnResponse(query, number, response);
   };
--- a/src/limpetlever/node/replica_attempt.h
+++ b/src/limpetlever/node/replica_attempt.h
@@ -10,6 +10,7 @@
 #include "base/time_types.h"
 #include "net/outgoing_request.h"
 #include "query/attempt_failure.h"
+#include "replicas/waiting_request.h"
 
 namespace limpetlever {
 
@@ -31,6 +32,10 @@
   int priority = 0;
   /** When the query's caller stops waiting. */
   instant deadline;
+  /** Decides how long it may wait for a connection. */
+  waiting_request waiting;
+  /** Whether it is a health check, which is sent to a cold server as well. */
+  bool is_health_check = false;
   /** Called with a complete response; returns false if it answers another request. */
   std::function<bool(http_message&)> on_response;
   /**
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -5,6 +5,8 @@
 
 #include "net/event_loop.h"
 #include "node/node_metrics.h"
+#include "node/pool_listener.h"
+#include "platform/request_codec.h"
 #include "replicas/admission.h"
 #include "replicas/replica_record.h"
 
@@ -29,18 +31,28 @@
 // Attempts that wait for a server that leaves look for another one at this period. Many may wait,
 // and each looks at all servers of its shard.
 constexpr duration kMovePeriod = std::chrono::milliseconds(20);
+// A server writes its entry every 1.2 s; a health check more often would learn little more.
+constexpr duration kHealthCheckPeriod = std::chrono::seconds(1);
+// A health check waits for a slot of the server like a request.
+constexpr duration kHealthCheckTimeout = std::chrono::seconds(1);
+// A server that does not answer health checks is not asked again for this time, since each check
+// keeps a connection from requests.
+constexpr duration kPauseAfterNoHealth = std::chrono::seconds(10);
+// A server that is found to be cold for this much longer than it was known to be is news for other
+// hosts.
+constexpr duration kColdNews = std::chrono::milliseconds(200);
 
 }  // namespace
 
 replica_pool::replica_pool(event_loop& loop,
                            node_metrics& metrics,
                            std::shared_ptr<replica_record> target,
-                           const std::function<void(const std::string&)>& on_refused,
+                           const pool_listener& listener,
                            std::shared_ptr<receive_memory> memory)
     : loop_(loop),
       metrics_(metrics),
       target_(std::move(target)),
-      on_refused_(on_refused),
+      listener_(listener),
       memory_(std::move(memory)) {}
 
 replica_pool::~replica_pool() {
@@ -83,21 +95,30 @@
   return best;
 }
 
+waiting_decision replica_pool::DecideWaiting(const replica_attempt& attempt) const {
+  const waiting_decision decision =
+      limpetlever::DecideWaiting(*target_, attempt.waiting, loop_.Now());
+  return attempt.is_health_check && IsUsable(*target_) ? waiting_decision::stay : decision;
+}
+
 void replica_pool::MoveWaiting() {
-  const waiting_decision decision = DecideWaiting(*target_, loop_.Now());
-  const bool must_leave = decision == waiting_decision::leave;
-  if (waiting_.empty() || decision == waiting_decision::stay ||
-      (!must_leave && loop_.Now() < next_move_)) {
+  const bool may_move = loop_.Now() >= next_move_;
+  const auto is_due = [may_move](waiting_decision decision) {
+    return decision == waiting_decision::leave || (decision == waiting_decision::move && may_move);
+  };
+  if (std::none_of(waiting_.begin(), waiting_.end(),
+                   [&](const auto& attempt) { return is_due(DecideWaiting(*attempt)); })) {
     return;
   }
   next_move_ = loop_.Now() + kMovePeriod;
   std::deque<std::shared_ptr<replica_attempt>> kept;
   for (const auto& attempt : std::exchange(waiting_, {})) {
+    const waiting_decision decision = DecideWaiting(*attempt);
     // Functions of the attempts before it may have cancelled it.
-    if (attempt->is_cancelled || attempt->on_excluded()) {
+    if (attempt->is_cancelled || (is_due(decision) && attempt->on_excluded())) {
       continue;
     }
-    if (must_leave) {
+    if (decision == waiting_decision::leave) {
       attempt->on_failure(attempt_failure::excluded);
     } else {
       kept.push_back(attempt);
@@ -107,6 +128,76 @@
   waiting_.insert(waiting_.begin(), kept.begin(), kept.end());
 }
 
+void replica_pool::OnUnreachable() {
+  target_->load.OnUnreachable(loop_.Now());
+  target_->warm_up.OnUnreachable(loop_.Now());
+}
+
+void replica_pool::CheckHealthIfDue() {
+  const instant now = loop_.Now();
+  const warm_up_limit& warm_up = target_->warm_up;
+  const bool is_wanted = warm_up.IsAssumed(now) || warm_up.IsFirstHost();
+  if (health_check_ && now >= health_check_->deadline) {
+    next_health_check_ = now + kPauseAfterNoHealth;
+    Cancel(std::exchange(health_check_, nullptr));
+  }
+  const bool is_connected =
+      std::any_of(connections_.begin(), connections_.end(),
+                  [](const auto& item) { return item.client->IsConnected(); });
+  if (warm_up.IsConfigured() && is_wanted && now >= next_health_check_ && is_connected &&
+      IsUsable(*target_) && !health_path_.empty() && !health_check_) {
+    SendHealthCheck();
+  }
+}
+
+void replica_pool::SendHealthCheck() {
+  next_health_check_ = loop_.Now() + kHealthCheckPeriod;
+  auto check = std::make_shared<replica_attempt>();
+  check->target = target_;
+  check->write_request = [this](duration) {
+    return platform::WriteHealthCheck(target_->registered, health_path_);
+  };
+  check->deadline = loop_.Now() + kHealthCheckTimeout;
+  check->waiting.chosen = loop_.Now();
+  check->is_health_check = true;
+  check->on_response = [this](http_message& response) { return OnHealth(response); };
+  check->on_lost = [] {};
+  check->on_failure = [this](attempt_failure) { health_check_ = nullptr; };
+  check->on_excluded = [this] {
+    health_check_ = nullptr;
+    return true;
+  };
+  metrics_.OnHealthCheck();
+  health_check_ = check;
+  // It goes before the requests, which depend on its answer.
+  waiting_.push_front(std::move(check));
+}
+
+bool replica_pool::OnHealth(const http_message& response) {
+  const auto health = platform::ParseHealth(response);
+  if (!health) {
+    return false;
+  }
+  health_check_ = nullptr;
+  const bool is_other = !health->id.empty() && health->id != target_->registered.id;
+  if (is_other) {
+    return true;
+  }
+  const instant now = loop_.Now();
+  warm_up_limit& warm_up = target_->warm_up;
+  warm_up.OnChecked(now);
+  if (health->cold_left) {
+    const instant cold_until = now + *health->cold_left;
+    const bool is_news =
+        *health->cold_left > duration::zero() && cold_until > warm_up.cold_until() + kColdNews;
+    if (is_news && listener_.on_cold) {
+      listener_.on_cold(target_->registered.id, *health->cold_left);
+    }
+    warm_up.OnColdUntil(cold_until, now);
+  }
+  return true;
+}
+
 bool replica_pool::IsExpired(const replica_attempt& attempt) const {
   return loop_.Now() >= attempt.deadline;
 }
@@ -182,8 +273,13 @@
 }
 
 void replica_pool::OnConnected(http_client&) {
+  if (target_->load.IsUnreachable()) {
+    // The process that answers may have started just now.
+    target_->warm_up.OnUnreachable(loop_.Now());
+  }
   target_->load.OnReachable();
   FailLost();
+  CheckHealthIfDue();
   AssignAttempts();
 }
 
@@ -221,9 +317,9 @@
     lost_.push_back(attempt);
   }
   if (reason == http_client::end_reason::not_connected) {
-    target_->load.OnUnreachable(loop_.Now());
-    if (on_refused_) {
-      on_refused_(target_->registered.id);
+    OnUnreachable();
+    if (listener_.on_refused) {
+      listener_.on_refused(target_->registered.id);
     }
     FailLost();
     FailWaiting(connections_.size());
@@ -313,11 +409,12 @@
     }
   }
   if (timed_out > 0) {
-    target_->load.OnUnreachable(now);
+    OnUnreachable();
     FailLost();
     FailWaiting(connections_.size());
   }
   ProbeIfUnreachable();
+  CheckHealthIfDue();
   AssignAttempts();
 }
 
--- a/src/limpetlever/node/replica_pool.h
+++ b/src/limpetlever/node/replica_pool.h
@@ -7,30 +7,32 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/time_types.h"
 #include "net/http_client.h"
 #include "node/replica_attempt.h"
+#include "replicas/waiting_decision.h"
 #include "timer/timer_service.h"
 
 namespace limpetlever {
 
 class event_loop;
 class node_metrics;
+struct pool_listener;
 
 /** The connections of this host to one backend server, and the attempts waiting for one. */
 class replica_pool : public http_client::handler {
  public:
   /**
-   * `on_refused` is called with the server's id when it refuses a connection. It is held by
-   * reference and must outlive the pool. `memory` limits what the incomplete answers of all pools
-   * take.
+   * `listener` is held by reference and must outlive the pool. `memory` limits what the incomplete
+   * answers of all pools take.
    */
   replica_pool(event_loop& loop,
                node_metrics& metrics,
                std::shared_ptr<replica_record> target,
-               const std::function<void(const std::string&)>& on_refused,
+               const pool_listener& listener,
                std::shared_ptr<receive_memory> memory);
   ~replica_pool() override;
 
@@ -40,6 +42,8 @@
   void SetMaxConnections(std::size_t max) { max_connections_ = max; }
   /** Whether idle connections are kept for later requests. */
   void SetKeepsConnections(bool keeps) { keeps_connections_ = keeps; }
+  /** Sets the path of the server's health check; empty: it has none. */
+  void SetHealthPath(std::string path) { health_path_ = std::move(path); }
   /** Sends the attempt on a free connection, or queues it by priority until there is one. */
   void Send(std::shared_ptr<replica_attempt> attempt);
   /**
@@ -78,8 +82,9 @@
   /** Closes a free connection that no waiting attempt may use, if there is no room for another. */
   void MakeRoomForAvoiding();
   /**
-   * If the server is no longer in use, moves waiting attempts to other servers. Those that cannot
-   * be moved keep waiting while the server still serves them (DecideWaiting), and fail after that.
+   * Moves waiting attempts to other servers if this one is no longer in use or may not get them
+   * while it is cold. Those that cannot be moved keep waiting while the server still serves them
+   * (DecideWaiting), and fail after that.
    */
   void MoveWaiting();
   void SendOn(pooled_connection& item, std::shared_ptr<replica_attempt> attempt);
@@ -87,6 +92,16 @@
   bool IsIdleTooLong(const http_client& client) const;
   connection_list::iterator Find(const http_client& client);
   void CloseConnection(connection_list::iterator item);
+  waiting_decision DecideWaiting(const replica_attempt& attempt) const;
+  /** No connection to the server can be opened. */
+  void OnUnreachable();
+  /**
+   * Asks a server that may be cold, without having said so, how long it is; and from time to time a
+   * server whose service has a limit for cold servers, if this host is the one to do so.
+   */
+  void CheckHealthIfDue();
+  void SendHealthCheck();
+  bool OnHealth(const http_message& response);
   /** Opens a connection to an unreachable server when its next try is due. */
   void ProbeIfUnreachable();
   /**
@@ -105,7 +120,7 @@
   event_loop& loop_;
   node_metrics& metrics_;
   const std::shared_ptr<replica_record> target_;
-  const std::function<void(const std::string&)>& on_refused_;
+  const pool_listener& listener_;
   const std::shared_ptr<receive_memory> memory_;
   std::size_t max_connections_ = 1;
   bool keeps_connections_ = true;
@@ -114,6 +129,11 @@
   /** Attempts whose connection was lost and that were not reported as failed yet. */
   std::vector<std::shared_ptr<replica_attempt>> lost_;
   timer_service::timer_id crash_check_ = 0;
+  std::string health_path_;
+  /** The health check that is not answered yet. */
+  std::shared_ptr<replica_attempt> health_check_;
+  /** When the next health check may be sent. */
+  instant next_health_check_;
   /** When waiting attempts look for another server again. */
   instant next_move_;
   /** Sorted by priority, the most urgent first, and within a priority by arrival. */
--- a/src/limpetlever/node/replica_pools.cc
+++ b/src/limpetlever/node/replica_pools.cc
@@ -36,10 +36,10 @@
 }
 
 std::size_t replica_pools::MaxConnections(const std::string& service) const {
-  const auto found = max_connections_by_service_.find(service);
-  const int limit = found == max_connections_by_service_.end() || found->second <= 0
+  const auto found = services_.find(service);
+  const int limit = found == services_.end() || found->second.max_connections <= 0
                         ? kDefaultMaxConnections
-                        : found->second;
+                        : found->second.max_connections;
   const auto share = static_cast<int>(limit * kUsableShare / std::max(1, host_count_));
   return static_cast<std::size_t>(std::max(1, share));
 }
@@ -48,21 +48,27 @@
   host_count_ = hosts;
   keeps_connections_ = is_in_use;
   for (const service_settings& service : table.services()) {
-    max_connections_by_service_[service.name] = service.max_connections;
+    services_[service.name] = service;
   }
   for (const auto& [key, pool] : pools_) {
-    pool->SetMaxConnections(MaxConnections(pool->target().registered.service));
-    pool->SetKeepsConnections(keeps_connections_);
+    ApplySettings(*pool);
   }
 }
 
+void replica_pools::ApplySettings(replica_pool& pool) const {
+  const std::string& service = pool.target().registered.service;
+  pool.SetMaxConnections(MaxConnections(service));
+  pool.SetKeepsConnections(keeps_connections_);
+  const auto found = services_.find(service);
+  pool.SetHealthPath(found == services_.end() ? std::string() : found->second.health_path);
+}
+
 void replica_pools::Send(std::shared_ptr<replica_attempt> attempt) {
   auto& pool = pools_[attempt->target.get()];
   if (!pool) {
-    pool = std::make_unique<replica_pool>(loop_, metrics_, attempt->target, on_refused_,
-                                          answer_memory_);
-    pool->SetMaxConnections(MaxConnections(attempt->target->registered.service));
-    pool->SetKeepsConnections(keeps_connections_);
+    pool =
+        std::make_unique<replica_pool>(loop_, metrics_, attempt->target, listener_, answer_memory_);
+    ApplySettings(*pool);
   }
   pool->Send(std::move(attempt));
 }
--- a/src/limpetlever/node/replica_pools.h
+++ b/src/limpetlever/node/replica_pools.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <unordered_map>
 
+#include "config/service_settings.h"
 #include "net/receive_memory.h"
+#include "node/pool_listener.h"
 #include "node/replica_attempt.h"
 #include "timer/timer_service.h"
 
@@ -35,7 +37,11 @@
   const receive_memory& answer_memory() const { return *answer_memory_; }
   /** Sets the function to call with the id of a backend server that refused a connection. */
   void OnConnectionRefused(std::function<void(const std::string&)> call) {
-    on_refused_ = std::move(call);
+    listener_.on_refused = std::move(call);
+  }
+  /** Sets the function to call when a health check finds a server cold, which was not known. */
+  void OnColdServer(std::function<void(const std::string& id, duration left)> call) {
+    listener_.on_cold = std::move(call);
   }
   /** Sends the attempt to its target, or queues it until a connection is free. */
   void Send(std::shared_ptr<replica_attempt> attempt);
@@ -46,15 +52,15 @@
   void Sweep();
   /** This host's limit of connections to one server of `service`. */
   std::size_t MaxConnections(const std::string& service) const;
+  void ApplySettings(replica_pool& pool) const;
 
   event_loop& loop_;
   node_metrics& metrics_;
   /** Also held by the connections, which may outlive this object. */
   const std::shared_ptr<receive_memory> answer_memory_;
   std::unordered_map<const replica_record*, std::unique_ptr<replica_pool>> pools_;
-  /** By service: connections that one backend server accepts from all hosts together. */
-  std::unordered_map<std::string, int> max_connections_by_service_;
-  std::function<void(const std::string&)> on_refused_;
+  std::unordered_map<std::string, service_settings> services_;
+  pool_listener listener_;
   int host_count_ = 1;
   bool keeps_connections_ = true;
   timer_service::timer_id sweep_ = 0;
--- a/tests/fuzz/test_outside_bytes.cc
+++ b/tests/fuzz/test_outside_bytes.cc
@@ -10,6 +10,7 @@
 #include "byte_mutator.h"
 #include "config/route_table.h"
 #include "limits/crash_report.h"
+#include "membership/liveness_table.h"
 #include "membership/member_entry.h"
 #include "membership/peer_message.h"
 #include "net/http_reader.h"
@@ -74,9 +75,11 @@
 
 const sample_list kDatagrams = {
     R"([0,12345678901234567,"10.0.0.1:700",42,[["member/a",5,9,"r\nd\n1.2.3.4:5\n1.2.3.4:6"]]])",
-    R"([3,0,"",7,[["crash/00000000000000ff/i-1",0,5,"mark"],["limit-ended/i-1",0,0,""]]])"};
+    R"([3,0,"",7,[["crash/00000000000000ff/i-1",0,5,"mark"],["limit-ended/i-1",0,0,""]]])",
+    R"([0,7,"",9,[["cold/i-1",0,2500,""],["liveness",0,0,"abcdeAfghijBklmnoC-_-_-9"]]])"};
 
 const sample_list kResponses = {
+    "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nCold-Ms: 2500\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nResponse-Seal: 3e1b.07\r\nServer-Load: 1,0,2\r\n"
     "Server-Limit: 9.6\r\nKeep-Alive: timeout=5\r\nContent-Length: 16\r\n\r\n0123456789abcdef",
     "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 2.5\r\n"
@@ -162,6 +165,7 @@
         (void)ParseMember(entry);
         (void)ParseCrashReport(entry);
       }
+      liveness_table("a").Merge(message->liveness_report, instant());
       cr_assert(DecodePeerMessage(EncodePeerMessage(*message)) == message);
     }
   });
@@ -173,6 +177,10 @@
     reader.Feed(bytes);
     reader.FeedEndOfStream();
     if (reader.current() == http_reader::state::complete) {
+      const auto health = platform::ParseHealth(reader.message());
+      cr_assert(!health || !health->cold_left ||
+                (*health->cold_left >= duration::zero() &&
+                 *health->cold_left <= std::chrono::minutes(10)));
       const auto reply = platform::ParseReply(reader.message(), {});
       cr_assert(!reply.load || reply.load->running + reply.load->waiting >= 0);
     }
--- a/tests/node/test_replica_pool.cc
+++ b/tests/node/test_replica_pool.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "net/receive_memory.h"
 #include "net/server_connection.h"
 #include "node/node_metrics.h"
+#include "node/pool_listener.h"
 #include "node/replica_pool.h"
 #include "replicas/admission.h"
 #include "replicas/replica_record.h"
@@ -34,7 +36,7 @@
                                              })) {
     record->registered = {.id = "s1", .service = "single", .address = address};
     record->is_registered = true;
-    pool = std::make_unique<replica_pool>(loop, metrics, record, on_refused, memory);
+    pool = std::make_unique<replica_pool>(loop, metrics, record, listener, memory);
     pool->SetMaxConnections(1);
   }
 
@@ -72,7 +74,7 @@
   std::map<std::string, duration> stated_times;
   std::function<void(const std::shared_ptr<server_connection>&)> on_request;
   const std::unique_ptr<http_server> server;
-  const std::function<void(const std::string&)> on_refused;
+  pool_listener listener;
   std::shared_ptr<replica_record> record = std::make_shared<replica_record>();
   std::unique_ptr<replica_pool> pool;
 };
@@ -141,3 +143,79 @@
   cr_assert(fixture.received == expected);
   cr_assert(fixture.failed.at("/late") == attempt_failure::excluded);
 }
+
+// Guards against requests that waited for a server which could not be reached, and that all reach
+// the cold process which has taken its place; and against a check of its warm-up that waits behind
+// them, or whose answer is not used.
+Test(replica_pool, a_server_that_is_reachable_again_is_asked_whether_it_is_cold) {
+  pool_fixture fixture;
+  fixture.record->warm_up.SetShare({.rank = 0, .hosts = 1, .fleet = 1}, true, fixture.loop.Now());
+  fixture.record->warm_up.SetService(10.0, std::chrono::seconds(3), fixture.loop.Now());
+  fixture.pool->SetHealthPath("/health");
+  duration found_cold{};
+  fixture.listener.on_cold = [&found_cold](const std::string&, duration left) {
+    found_cold = left;
+  };
+  fixture.on_request = [](const auto& caller) {
+    std::string head;
+    AppendStatusLine(head, 200);
+    if (caller->request().target == "/health") {
+      AppendField(head, "Instance-Id", "s1");
+      AppendField(head, "Cold-Ms", "1500");
+    }
+    caller->Answer(head, {});
+  };
+  fixture.record->load.OnUnreachable(fixture.loop.UpdateNow());
+  for (int i = 0; i < 20; ++i) {
+    fixture.Send("/waiting-" + std::to_string(i), std::chrono::seconds(30));
+  }
+  fixture.RunFor(std::chrono::milliseconds(300));
+  cr_assert(fixture.received == std::vector<std::string>{"/health"}, "%zu requests",
+            fixture.received.size());
+  cr_assert(fixture.failed.size() == 20);
+  cr_assert(found_cold == std::chrono::milliseconds(1500));
+  const instant now = fixture.loop.UpdateNow();
+  cr_assert(!fixture.record->warm_up.IsAssumed(now) && fixture.record->warm_up.IsLimiting(now));
+}
+
+// Guards against health checks of servers whose service has no limit for cold servers, which cost
+// them a slot.
+Test(replica_pool, a_service_without_a_limit_for_cold_servers_gets_no_health_checks) {
+  pool_fixture fixture;
+  fixture.pool->SetHealthPath("/health");
+  fixture.on_request = [](const auto& caller) { AnswerOk(caller); };
+  fixture.record->load.OnUnreachable(fixture.loop.UpdateNow());
+  fixture.Send("/first", std::chrono::seconds(30));
+  fixture.RunFor(std::chrono::milliseconds(300));
+  for (int i = 0; i < 15; ++i) {
+    fixture.pool->Sweep();
+    fixture.RunFor(std::chrono::milliseconds(100));
+  }
+  cr_assert(fixture.received == std::vector<std::string>{"/first"});
+}
+
+// Guards against a health check without an answer that keeps its connection for ever.
+Test(replica_pool, a_health_check_without_an_answer_ends) {
+  pool_fixture fixture;
+  fixture.record->warm_up.SetShare({.rank = 0, .hosts = 1, .fleet = 1}, true, fixture.loop.Now());
+  fixture.record->warm_up.SetService(1000.0, std::chrono::seconds(1), fixture.loop.Now());
+  fixture.pool->SetHealthPath("/health");
+  std::vector<std::shared_ptr<server_connection>> unanswered;
+  fixture.on_request = [&unanswered](const auto& caller) {
+    if (caller->request().target == "/health") {
+      unanswered.push_back(caller);
+    } else {
+      AnswerOk(caller);
+    }
+  };
+  fixture.record->load.OnUnreachable(fixture.loop.UpdateNow());
+  fixture.Send("/lost", std::chrono::seconds(30));
+  fixture.RunFor(std::chrono::milliseconds(300));
+  cr_assert(unanswered.size() == 1);
+  fixture.clock_ahead += std::chrono::milliseconds(1500);
+  fixture.loop.UpdateNow();
+  fixture.pool->Sweep();
+  fixture.Send("/later", std::chrono::seconds(30));
+  fixture.RunFor(std::chrono::milliseconds(500));
+  cr_assert(std::count(fixture.received.begin(), fixture.received.end(), "/later") == 1);
+}
--- a/tests/platform/test_config_decoder.cc
+++ b/tests/platform/test_config_decoder.cc
@@ -63,3 +63,18 @@
     (void)platform::DecodeConfig(bytes);
   }
 }
+
+// Guards against a health check that is sent to another path, and against a path that would end the
+// request line.
+Test(config_decoder, the_path_of_the_health_check) {
+  const auto path = [](const std::string& value) {
+    const auto decoded = platform::DecodeConfig(
+        R"({"version":1,"routes":[],"services":[{"name":"a","healthPath":)" + value + "}]}");
+    cr_assert(decoded);
+    return (*decoded)->FindService("a")->health_path;
+  };
+  cr_assert(path(R"("/health")") == "/health");
+  for (const char* odd : {"7", R"("")", R"("health")", R"("/a b")", R"("/a\r\nX: 1")"}) {
+    cr_assert(path(odd).empty(), "%s", odd);
+  }
+}
--- a/tests/platform/test_request_codec.cc
+++ b/tests/platform/test_request_codec.cc
@@ -195,3 +195,34 @@
     cr_assert(name != "Retry-After");
   }
 }
+
+// Guards against a health check that carries a caller's id or names a process: servers answer it
+// whoever asks.
+Test(request_codec, a_health_check) {
+  const replica target{.id = "i-1", .address = {.ip = "10.0.0.9", .port = 8080}};
+  parsed sent(http_reader::side::requests, platform::WriteHealthCheck(target, "/health").head);
+  cr_assert(sent->method == "GET" && sent->target == "/health");
+  cr_assert(sent->Find("Host") == "10.0.0.9:8080" && sent->field_count() == 1);
+}
+
+// Guards against the time for which a server is cold being ignored, or invented where the answer
+// does not state it or belongs to another request.
+Test(request_codec, the_answer_to_a_health_check) {
+  const auto parse = [](const std::string& status, const std::string& fields) {
+    parsed response(http_reader::side::responses,
+                    "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 0\r\n\r\n");
+    return platform::ParseHealth(*response);
+  };
+  using health = platform::server_health;
+  using std::chrono::milliseconds;
+  cr_assert(parse("200", "Instance-Id: i-1\r\nCold-Ms: 2500\r\n") ==
+            (health{.id = "i-1", .cold_left = milliseconds(2500)}));
+  cr_assert(parse("503", "Instance-Id: i-1\r\nCold-Ms: 0\r\n") ==
+            (health{.id = "i-1", .cold_left = milliseconds(0)}));
+  cr_assert(parse("200", "Instance-Id: i-1\r\n") == health{.id = "i-1"});
+  for (const char* odd : {"-1", "x", "", "99999999999999999999"}) {
+    cr_assert(!parse("200", "Cold-Ms: " + std::string(odd) + "\r\n")->cold_left, "%s", odd);
+  }
+  cr_assert(parse("200", "Cold-Ms: 999999999999\r\n")->cold_left == std::chrono::minutes(10));
+  cr_assert(!parse("503", "Attempt-Id: 7\r\nCold-Ms: 5\r\n"));
+}
--- a/tests/query/test_query_plan.cc
+++ b/tests/query/test_query_plan.cc
@@ -450,7 +450,7 @@
 Test(query_plan, a_host_without_a_part_in_a_limit_does_not_send_callers_away_for_long) {
   query_fixture fixture(1);
   fixture.registry.SetLimitSharers(
-      limit_sharers("host", std::vector<std::string>(30, "other"), 1000), fixture.now);
+      limit_sharers("host", std::vector<std::string>(30, "other"), 1000), true, fixture.now);
   for (const char* id : {"a0", "b0"}) {
     fixture.registry.Find(id)->limit.OnNamed(1.0, fixture.now);
   }
@@ -524,3 +524,51 @@
   fixture.Advance(5000);
   cr_assert(!ask(std::nullopt)->limit.IsNamed());
 }
+
+// Guards against a cold server that gets the whole load: first attempts, retries and hedges go to
+// another server or are not sent.
+Test(query_plan, keeps_to_the_limit_of_a_cold_server) {
+  query_fixture fixture(1);
+  fixture.registry.SetLimitSharers(limit_sharers("h", {"h"}, 1), true, fixture.now);
+  fixture.registry.SetServices({{.name = "shard0", .cold_requests_per_s = 10.0}}, fixture.now);
+  const auto cold = fixture.registry.Find("a0");
+  cold->warm_up.OnColdUntil(fixture.now + std::chrono::seconds(5), fixture.now);
+  int sent_to_cold = 0;
+  for (int query = 0; query < 500; ++query) {
+    const auto plan = fixture.Plan(fixture.search);
+    actions_type actions;
+    plan->Start(fixture.now, actions);
+    for (const query_action& send : query_fixture::Sends(actions)) {
+      plan->OnFailure(send.attempt, attempt_failure::connection_lost, fixture.now, actions);
+    }
+    fixture.Advance(10);
+    plan->OnTimer(fixture.now, actions);
+    for (const query_action& send : query_fixture::Sends(actions)) {
+      sent_to_cold += send.target == cold ? 1 : 0;
+      cr_assert(send.reason != send_reason::hedge || send.target != cold);
+    }
+  }
+  cr_assert(sent_to_cold <= 40, "%d requests in 5 s at 10 a second", sent_to_cold);
+}
+
+// Guards against requests that wait for cold servers, or whose callers are not told when to return.
+Test(query_plan, rejects_at_once_what_cold_servers_cannot_take) {
+  query_fixture fixture(1);
+  fixture.registry.SetLimitSharers(limit_sharers("h", {"h"}, 1), true, fixture.now);
+  fixture.registry.SetServices({{.name = "shard0", .cold_requests_per_s = 1.0}}, fixture.now);
+  for (const char* id : {"a0", "b0"}) {
+    fixture.registry.Find(id)->warm_up.OnColdUntil(fixture.now + std::chrono::seconds(1),
+                                                   fixture.now);
+  }
+  const auto plan = fixture.Plan(fixture.search);
+  actions_type actions;
+  plan->Start(fixture.now, actions);
+  cr_assert(plan->IsDone() && query_fixture::Sends(actions).empty());
+  cr_assert(plan->outcome().result.state == run_state::not_run);
+  cr_assert(plan->outcome().retry_after == std::chrono::seconds(1));
+  fixture.Advance(1000);
+  const auto later = fixture.Plan(fixture.search);
+  actions.clear();
+  later->Start(fixture.now, actions);
+  cr_assert(query_fixture::Sends(actions).size() == 1);
+}
--- a/tests/replicas/test_replica_registry.cc
+++ b/tests/replicas/test_replica_registry.cc
@@ -1,9 +1,11 @@
 #include <criterion/criterion.h>
 
+#include "config/service_settings.h"
 #include "replicas/admission.h"
 #include "replicas/replica.h"
 #include "replicas/replica_record.h"
 #include "replicas/replica_registry.h"
+#include "replicas/waiting_request.h"
 
 using namespace limpetlever;
 
@@ -96,3 +98,70 @@
   cr_assert(registry.Find("i1")->registered.started_ms == 1);
   cr_assert(registry.TakeLastingEntries(now + std::chrono::minutes(1)).empty());
 }
+
+// Guards against servers that are not limited while they are cold: an entry that says so, a server
+// that turns cold again, and a limit that the configuration names, changes or takes back.
+Test(replica_registry, cold_servers_are_limited) {
+  replica_registry registry("dc-a");
+  registry.SetLimitSharers(limit_sharers("h", {"h"}, 1), true, now);
+  registry.SetServices({{.name = "s", .cold_requests_per_s = 10.0}}, now);
+  replica cold = Server("i1");
+  cold.warm_up_left = std::chrono::seconds(3);
+  registry.Put(cold, now);
+  const auto record = registry.Find("i1");
+  cr_assert(CheckAdmission(*record, now).reason == exclusion::cold);
+  cr_assert(registry.CountCold(now) == 1);
+  const instant later = now + std::chrono::seconds(3);
+  cr_assert(CheckAdmission(*record, later).MaySend(later));
+  // A host reads all entries again after it has lost the history of the store.
+  registry.Put(cold, later);
+  cr_assert(CheckAdmission(*record, later).MaySend(later));
+  cold.sequence = 1;
+  registry.Put(cold, later);
+  cr_assert(!CheckAdmission(*record, later).MaySend(later));
+  registry.SetServices({{.name = "s"}}, later);
+  cr_assert(CheckAdmission(*record, later).MaySend(later));
+  registry.SetServices({{.name = "s", .cold_requests_per_s = 1.0}}, later);
+  cr_assert(!CheckAdmission(*record, later).MaySend(later));
+}
+
+// Guards against a host that does not know the others yet and takes the whole limit.
+Test(replica_registry, a_host_that_does_not_know_the_others_has_no_part) {
+  replica_registry registry("dc-a");
+  registry.SetLimitSharers(limit_sharers("h", {"h"}, 1), false, now);
+  registry.SetServices({{.name = "s", .cold_requests_per_s = 1000.0}}, now);
+  replica cold = Server("i1");
+  cold.warm_up_left = std::chrono::seconds(3);
+  registry.Put(cold, now);
+  const instant later = now + std::chrono::seconds(1);
+  cr_assert(!CheckAdmission(*registry.Find("i1"), later).MaySend(later));
+  registry.SetLimitSharers(limit_sharers("h", {"h"}, 1), true, later);
+  const instant next = later + std::chrono::milliseconds(100);
+  cr_assert(CheckAdmission(*registry.Find("i1"), next).MaySend(next));
+}
+
+// Guards against requests that wait for a server and reach it, or the process that has replaced it,
+// all at once when it is cold.
+Test(replica_registry, requests_that_wait_for_a_server_leave_when_it_is_cold) {
+  replica_registry registry("dc-a");
+  registry.SetLimitSharers(limit_sharers("h", {"h"}, 1), true, now);
+  registry.SetServices({{.name = "s", .cold_requests_per_s = 10.0}}, now);
+  registry.Put(Server("i1"), now);
+  const auto record = registry.Find("i1");
+  const waiting_request waiting{.chosen = now};
+  cr_assert(DecideWaiting(*record, waiting, now) == waiting_decision::stay);
+  replica cold = Server("i1");
+  cold.warm_up_left = std::chrono::seconds(3);
+  registry.Put(cold, now);
+  cr_assert(DecideWaiting(*record, waiting, now) == waiting_decision::leave);
+  const waiting_request with_part{.chosen = now, .is_within_warm_up_limit = true};
+  cr_assert(DecideWaiting(*record, with_part, now) == waiting_decision::stay);
+  const instant late = now + std::chrono::milliseconds(300);
+  cr_assert(DecideWaiting(*record, with_part, late) == waiting_decision::leave);
+  replica again = Server("i1");
+  again.started_ms = 2;
+  const instant warm = now + std::chrono::seconds(4);
+  cr_assert(DecideWaiting(*record, waiting, warm) == waiting_decision::stay);
+  registry.Put(again, warm);
+  cr_assert(DecideWaiting(*record, waiting, warm) == waiting_decision::leave);
+}
