--- a/tests/drills/host_process.cc
+++ b/tests/drills/host_process.cc
@@ -66,6 +66,12 @@
   }
 }
 
+void host_process::Signal(int signal) const {
+  if (pid_ > 0) {
+    kill(pid_, signal);
+  }
+}
+
 bool host_process::HasEnded() {
   if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
     pid_ = -1;
--- a/tests/drills/host_process.h
+++ b/tests/drills/host_process.h
@@ -35,6 +35,8 @@
   void Start();
   /** Kills the process and waits for its end. */
   void Kill();
+  /** Sends the process a signal, such as SIGSTOP, if it runs. */
+  void Signal(int signal) const;
   /** Whether the process was started and has ended by itself. */
   bool HasEnded();
   /** Whether it was started and not killed. */
--- a/tests/drills/test_cold_servers.cc
+++ b/tests/drills/test_cold_servers.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -154,7 +155,7 @@
       servers.back()->Start("i-" + std::to_string(i), 0ms);
     }
     for (int i = 0; i < kHosts; ++i) {
-      hosts_.push_back(std::make_unique<host_process>(
+      hosts.push_back(std::make_unique<host_process>(
           host_process::options{.program = NODE_PROGRAM,
                                 .folder = folder_,
                                 .name = "host-" + std::to_string(i),
@@ -165,12 +166,12 @@
                                 .peer_address = NewAddress(),
                                 .metrics_address = NewAddress(),
                                 .store_address = store->address()}));
-      hosts_.back()->Start();
+      hosts.back()->Start();
       for (int k = 0; k < kCallersOfHost; ++k) {
         const int number = i * kCallersOfHost + k;
         callers_.push_back(std::make_unique<drill_caller>(
             loop,
-            drill_caller::options{.host = hosts_.back()->settings().caller_address,
+            drill_caller::options{.host = hosts.back()->settings().caller_address,
                                   .id_prefix = "c" + std::to_string(100 + number),
                                   .seed = static_cast<std::uint64_t>(number)},
             [](random_source&) { return std::string("/s/"); },
@@ -187,7 +188,7 @@
   }
   ~cold_fleet() {
     callers_.clear();
-    hosts_.clear();
+    hosts.clear();
     std::filesystem::remove_all(folder_);
   }
 
@@ -229,6 +230,7 @@
   event_loop loop;
   std::unique_ptr<drill_store> store;
   std::vector<std::unique_ptr<cold_server>> servers;
+  std::vector<std::unique_ptr<host_process>> hosts;
 
  private:
   void OnOutcome(const drill_caller::outcome& outcome) {
@@ -247,7 +249,6 @@
   const std::string ip_;
   std::uint16_t next_port_ = 10'000;
   std::string folder_;
-  std::vector<std::unique_ptr<host_process>> hosts_;
   std::vector<std::unique_ptr<drill_caller>> callers_;
   int served_ = 0;
   int failed_ = 0;
@@ -329,3 +330,36 @@
   fleet.CheckRule();
   fleet.CheckServiceIsBack();
 }
+
+// Guards against a sum that is exceeded while hosts are killed, start again, freeze and wake up,
+// and so know different parts of the fleet.
+Test(cold_servers, the_limit_is_kept_while_hosts_stop_and_start) {
+  cold_fleet fleet;
+  for (const auto& server : fleet.servers) {
+    server->TurnCold(20s, 800ms);
+  }
+  fleet.Run(1s);
+  fleet.hosts[0]->Kill();
+  fleet.hosts[1]->Kill();
+  fleet.hosts[2]->Signal(SIGSTOP);
+  fleet.Run(2s);
+  fleet.hosts[0]->Start();
+  fleet.hosts[3]->Kill();
+  fleet.Run(2s);
+  fleet.hosts[2]->Signal(SIGCONT);
+  fleet.hosts[1]->Start();
+  fleet.hosts[3]->Start();
+  fleet.Run(3s);
+  for (const auto& host : fleet.hosts) {
+    host->Kill();
+  }
+  fleet.Run(500ms);
+  for (const auto& host : fleet.hosts) {
+    host->Start();
+  }
+  fleet.Run(12s);
+  for (const auto& server : fleet.servers) {
+    cr_assert(server->most() <= kAllowed, "%zu requests in a second", server->most());
+  }
+  fleet.CheckServiceIsBack();
+}
--- a/tests/drills/test_killed_hosts.cc
+++ b/tests/drills/test_killed_hosts.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <memory>
 #include <optional>
@@ -169,3 +170,29 @@
     std::this_thread::sleep_for(kAskPeriod);
   }
 }
+
+// Guards against a host that was frozen and takes the others for ended because it has heard nothing
+// of them, and against hosts that leave it out for long after that.
+Test(killed_hosts, a_frozen_host_names_the_others_and_is_named_again) {
+  fleet all;
+  std::this_thread::sleep_for(6s);
+  all.hosts[0]->Signal(SIGSTOP);
+  std::this_thread::sleep_for(8s);
+  all.hosts[0]->Signal(SIGCONT);
+  const auto resumed = std::chrono::steady_clock::now();
+  int answers = 0;
+  while (std::chrono::steady_clock::now() < resumed + 8s) {
+    if (const auto answer = all.Ask(0)) {
+      ++answers;
+      const int named = all.CountNamed(*answer, 0);
+      cr_assert(named == kHosts, "%d of %d hosts are named: %s", named, kHosts, answer->c_str());
+    }
+    std::this_thread::sleep_for(kAskPeriod);
+  }
+  cr_assert(answers > 0);
+  for (int i = 1; i < kHosts; ++i) {
+    const auto answer = all.Ask(i);
+    cr_assert(answer && all.CountNamed(*answer, 0) == kHosts, "host %d: %s", i,
+              answer ? answer->c_str() : "no answer");
+  }
+}
