--- a/tests/node/test_odd_entries.cc
+++ b/tests/node/test_odd_entries.cc
@@ -129,3 +129,36 @@
   }
   cr_assert(fixture.Metric("limpetlever_store_entries_refused_total") == 1);
 }
+
+// Guards against requests to a server long after it began to drain: another writer had left a copy
+// of its entry whose start time no server can have, and hosts took what the server wrote then for
+// the entries of an earlier process.
+Test(odd_entries, a_start_time_in_the_future_does_not_hold_back_later_entries) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  for (const char* born : {"9000000000000000000", "99000000000000"}) {
+    std::string odd = fixture.EntryOf("s1");
+    const std::string start = "\"born\":1}";
+    odd.replace(odd.find(start), start.size(), "\"born\":" + std::string(born) + "}");
+    fixture.WriteToStore("servers/s1", odd);
+    // The next heartbeat of the server replaces the entry.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    fixture.RegisterServer("s1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    fixture.DrainServer("s1");
+    // The time in which the change must be in force.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const int before = fixture.ServedCount("s1");
+    for (int i = 0; i < 20; ++i) {
+      const std::string id = born + std::string("-") + std::to_string(i);
+      cr_assert(fixture.SendRequest("GET", "/i/1", id).status == 200);
+    }
+    cr_assert(fixture.ServedCount("s1") == before, "born %s", born);
+    fixture.RegisterServer("s1");
+    const int drained = fixture.ServedCount("s1");
+    for (int i = 0; fixture.ServedCount("s1") == drained; ++i) {
+      cr_assert(i < 1000, "the server is not used again");
+      fixture.SendRequest("GET", "/i/1", born + std::string("-again-") + std::to_string(i));
+    }
+  }
+}
