Node: a server that starts again under its id counts as another one to crash

Cause: marks of two servers block a request, and a server was known by its id, so that the second crash only renewed the mark (916 is logged once). With one server in its data centre a host sends the request there each time.

Change: lost requests and marks name the process, the id and its start time. Two processes of one server block the request like two servers.

Test: crashing_requests/is_blocked_after_it_has_crashed_two_processes_of_one_server failed before and passes now.

--- a/src/limpetlever/node/crash_reporter.cc
+++ b/src/limpetlever/node/crash_reporter.cc
@@ -4,6 +4,7 @@
 
 #include "net/event_loop.h"
 #include "node/log_writer.h"
+#include "replicas/replica.h"
 
 namespace limpetlever {
 
@@ -12,6 +13,10 @@
 // Capacity of crash_guard. Requests that crash servers are rare; an entry takes about 100 bytes.
 constexpr std::size_t kMaxFingerprints = 512;
 
+std::string ProcessName(const replica& server) {
+  return server.id + "@" + std::to_string(server.started_ms);
+}
+
 }  // namespace
 
 crash_reporter::crash_reporter(event_loop& loop, log_writer& log)
@@ -23,9 +28,9 @@
   });
 }
 
-void crash_reporter::AddLost(const std::string& server, const request_fingerprints& fingerprints) {
+void crash_reporter::AddLost(const replica& server, const request_fingerprints& fingerprints) {
   for (const std::uint64_t fingerprint : fingerprints) {
-    lost_requests_.Add(server, fingerprint, loop_.Now());
+    lost_requests_.Add(ProcessName(server), fingerprint, loop_.Now());
   }
 }
 
@@ -66,9 +71,10 @@
   StoreMarksIfBlocked(report.fingerprint);
 }
 
-void crash_reporter::OnReplicaDown(const std::string& id) {
+void crash_reporter::OnReplicaDown(const replica& server) {
+  const std::string process = ProcessName(server);
   for (const crash_report& report : crash_guard_.OnServerCrash(
-           id, lost_requests_.TakeForServer(id, loop_.Now()), ReadWallClock())) {
+           process, lost_requests_.TakeForServer(process, loop_.Now()), ReadWallClock())) {
     Publish(report);
   }
 }
--- a/src/limpetlever/node/crash_reporter.h
+++ b/src/limpetlever/node/crash_reporter.h
@@ -16,6 +16,7 @@
 
 class event_loop;
 class log_writer;
+struct replica;
 
 /**
  * Finds the requests that crash backend servers, from the requests that were lost when a server
@@ -38,13 +39,14 @@
   void Merge(const crash_report& report, const char* source);
   /**
    * To be called when a backend server refuses connections, has left or has restarted. Requests
-   * recently lost on it are then suspected of having crashed it.
+   * recently lost on it are then suspected of having crashed it. `server` is the process that has
+   * ended: one that starts again under the same id is another one to crash.
    */
-  void OnReplicaDown(const std::string& id);
+  void OnReplicaDown(const replica& server);
   /** Whether the request is known to crash servers. */
   bool IsBlocked(const request_fingerprints& fingerprints) const;
   /** Records that a request was lost while `server` may have been running it. */
-  void AddLost(const std::string& server, const request_fingerprints& fingerprints);
+  void AddLost(const replica& server, const request_fingerprints& fingerprints);
   /** The request has completed on all its servers, so that it crashes none. */
   void OnCompleted(const request_fingerprints& fingerprints);
 
--- a/src/limpetlever/node/node_server.cc
+++ b/src/limpetlever/node/node_server.cc
@@ -212,7 +212,8 @@
     OnColdServer(id, left, "health");
     peers_.BroadcastColdServer(id, left);
   });
-  pools_.OnConnectionRefused([this](const std::string& id) { query_.crashes().OnReplicaDown(id); });
+  pools_.OnConnectionRefused(
+      [this](const replica& server) { query_.crashes().OnReplicaDown(server); });
   peers_.OnRejoin(
       [this] { registration_.ReplaceValue(platform::EncodeEntry(peers_.SelfEntry())); });
   loop_.OnPause([this](duration pause) { OnPause(pause); });
@@ -611,7 +612,7 @@
 void node_server::ApplyReplica(const replica& registered) {
   const auto known = replicas_.Find(registered.id);
   if (known && known->registered.started_ms != registered.started_ms) {
-    query_.crashes().OnReplicaDown(registered.id);
+    query_.crashes().OnReplicaDown(known->registered);
   }
   const bool was_limited = known && known->warm_up.IsLimiting(loop_.Now());
   const bool has_changed = replicas_.Put(registered, loop_.Now());
@@ -654,7 +655,7 @@
   const bool has_left_as_planned = known && (known->registered.is_draining || known->is_leaving);
   if (replicas_.Remove(id, loop_.Now())) {
     if (!has_left_as_planned) {
-      query_.crashes().OnReplicaDown(id);
+      query_.crashes().OnReplicaDown(known->registered);
     }
     log_.Record(event_number::replica_removed, {{"replica", id}});
   }
--- a/src/limpetlever/node/pool_listener.h
+++ b/src/limpetlever/node/pool_listener.h
@@ -8,10 +8,12 @@
 
 namespace limpetlever {
 
+struct replica;
+
 /** What the connections to backend servers find out about them. Unset functions are not called. */
 struct pool_listener {
   /** A server has refused a connection. */
-  std::function<void(const std::string& id)> on_refused;
+  std::function<void(const replica& server)> on_refused;
   /** A server has answered to a health check that it is cold for `left`, which was not known. */
   std::function<void(const std::string& id, duration left)> on_cold;
 };
--- a/src/limpetlever/node/query_service.cc
+++ b/src/limpetlever/node/query_service.cc
@@ -202,8 +202,8 @@
   attempt->on_response = [this, query, number = action.attempt](http_message& response) {
     return OnResponse(query, number, response);
   };
-  attempt->on_lost = [this, fingerprints = query->fingerprints, id = action.target->registered.id] {
-    crashes_.AddLost(id, fingerprints);
+  attempt->on_lost = [this, fingerprints = query->fingerprints, server = action.target] {
+    crashes_.AddLost(server->registered, fingerprints);
   };
   attempt->on_excluded = [this, query, number = action.attempt] { return Move(query, number); };
   for (const auto& earlier : query->answered_attempts) {
@@ -408,7 +408,7 @@
       const bool was_sent = attempt->connection != nullptr;
       if (was_sent && !query->plan.outcome().IsComplete()) {
         // A server that crashed without closing its connections does not answer either.
-        crashes_.AddLost(attempt->target->registered.id, query->fingerprints);
+        crashes_.AddLost(attempt->target->registered, query->fingerprints);
       }
       query->plan.OnCancelled(i, loop_.Now());
       pools_.Cancel(attempt);
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -319,7 +319,7 @@
   if (reason == http_client::end_reason::not_connected) {
     OnUnreachable();
     if (listener_.on_refused) {
-      listener_.on_refused(target_->registered.id);
+      listener_.on_refused(target_->registered);
     }
     FailLost();
     FailWaiting(connections_.size());
--- a/src/limpetlever/node/replica_pools.h
+++ b/src/limpetlever/node/replica_pools.h
@@ -35,8 +35,8 @@
   /** Limits what all incomplete answers of backend servers take together. */
   void SetAnswerMemory(std::size_t max_bytes) { answer_memory_->SetMaxBytes(max_bytes); }
   const receive_memory& answer_memory() const { return *answer_memory_; }
-  /** Sets the function to call with the id of a backend server that refused a connection. */
-  void OnConnectionRefused(std::function<void(const std::string&)> call) {
+  /** Sets the function to call with a backend server that refused a connection. */
+  void OnConnectionRefused(std::function<void(const replica&)> call) {
     listener_.on_refused = std::move(call);
   }
   /** Sets the function to call when a health check finds a server cold, which was not known. */
--- a/tests/node/test_crashing_requests.cc
+++ b/tests/node/test_crashing_requests.cc
@@ -138,3 +138,29 @@
   fixture.SendRequest("GET", "/i/1", "id-3");
   cr_assert(fixture.RunCount("id-3") > 0, "the request is blocked");
 }
+
+// Guards against a request that crashes the same server again and again: the server starts again
+// under its id each time, and that counted as one server.
+Test(crashing_requests, is_blocked_after_it_has_crashed_two_processes_of_one_server) {
+  host_fixture fixture;
+  fixture.WaitUntilReady();
+  // The only server of the service.
+  fixture.RemoveFromStore("servers/s2");
+  while (fixture.Metric("limpetlever_backend_servers") != 5) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  for (int start = 2; start <= 3; ++start) {
+    fixture.SendRequest("POST", "/p/poison", "poison-" + std::to_string(start), "body", 2000);
+    cr_assert(fixture.RunCount("poison-" + std::to_string(start)) == 1);
+    fixture.RestartServers();
+    std::string entry = fixture.EntryOf("s1");
+    const std::string born = "\"born\":1}";
+    entry.replace(entry.find(born), born.size(), "\"born\":" + std::to_string(start) + "}");
+    fixture.WriteToStore("servers/s1", entry);
+    // Longer than a change of the store takes to arrive.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    cr_assert(fixture.SendRequest("GET", "/i/1", "r-" + std::to_string(start)).status == 200);
+  }
+  cr_assert(fixture.SendRequest("POST", "/p/poison", "poison-4", "body").status == 503);
+  cr_assert(fixture.RunCount("poison-4") == 0);
+}
