Replicas: a rejected health check says nothing, odd limits of cold servers

A server that is full rejects a health check like a request, without saying whether it is cold. That answer ended the assumption that a server which had been unreachable is cold, so that it got the full load. It says nothing now (replica_pool/a_rejected_health_check_says_nothing).

A message of an unknown sender was recorded as a sign of life of a host without a name.

--- a/src/liblimpetlever/limits/warm_up_limit.cc
+++ b/src/liblimpetlever/limits/warm_up_limit.cc
@@ -12,6 +12,8 @@
 constexpr double kDividedShare = 0.7;
 // Hosts that have a part, for each request per second of the limit.
 constexpr double kHostsPerRequest = 0.3;
+// Keeps the interval within the range of its type.
+constexpr double kMinRequestsPerSecond = 0.01;
 
 }  // namespace
 
@@ -21,8 +23,9 @@
 }
 
 duration warm_up_limit::Interval() const {
+  const double divided = kDividedShare * std::max(kMinRequestsPerSecond, requests_per_s_);
   return std::chrono::duration_cast<duration>(
-             std::chrono::duration<double>(SharingHosts() / (kDividedShare * requests_per_s_))) +
+             std::chrono::duration<double>(SharingHosts() / divided)) +
          duration(1);
 }
 
--- a/src/liblimpetlever/membership/liveness_table.cc
+++ b/src/liblimpetlever/membership/liveness_table.cc
@@ -44,7 +44,7 @@
   for (std::size_t i = 0; i < kIdDigits; ++i) {
     report.push_back(kDigits[(id >> (i * kBitsPerDigit)) & kDigitMask]);
   }
-  // Rounded up: an age that were too low at each host on the way would keep an ended host longer.
+  // Rounded up: ages that are too low at each host on the way would keep an ended host longer.
   const auto units = static_cast<std::size_t>((age + kAgeUnit - duration(1)) / kAgeUnit);
   report.push_back(kDigits[std::min(units, kDigits.size() - 1)]);
 }
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -253,7 +253,9 @@
     liveness_.Merge(message.liveness_report, EarliestReceipt());
   } else if (message.kind != peer_message::kind_type::update) {
     // A host of an earlier version, or one that asks for a relayed probe.
-    liveness_.OnMessage(FindName(FormatAddress(from)), EarliestReceipt());
+    if (const std::string name = FindName(FormatAddress(from)); !name.empty()) {
+      liveness_.OnMessage(name, EarliestReceipt());
+    }
   }
   if (message.position > newest_peer_position_) {
     if (newest_peer_position_ <= position_) {
--- a/src/limpetlever/node/replica_pool.cc
+++ b/src/limpetlever/node/replica_pool.cc
@@ -180,7 +180,7 @@
   }
   health_check_ = nullptr;
   const bool is_other = !health->id.empty() && health->id != target_->registered.id;
-  if (is_other) {
+  if (is_other || health->is_rejected) {
     return true;
   }
   const instant now = loop_.Now();
--- a/tests/node/test_replica_pool.cc
+++ b/tests/node/test_replica_pool.cc
@@ -219,3 +219,22 @@
   fixture.RunFor(std::chrono::milliseconds(500));
   cr_assert(std::count(fixture.received.begin(), fixture.received.end(), "/later") == 1);
 }
+
+// Guards against a server that counts as warm since it was too full to answer a health check.
+Test(replica_pool, a_rejected_health_check_says_nothing) {
+  pool_fixture fixture;
+  fixture.record->warm_up.SetShare({.rank = 0, .hosts = 1, .fleet = 1}, true, fixture.loop.Now());
+  fixture.record->warm_up.SetService(10.0, std::chrono::seconds(3), fixture.loop.Now());
+  fixture.pool->SetHealthPath("/health");
+  fixture.on_request = [](const auto& caller) {
+    std::string head;
+    AppendStatusLine(head, 503);
+    AppendField(head, "Not-Executed", "1");
+    caller->Answer(head, {});
+  };
+  fixture.record->load.OnUnreachable(fixture.loop.UpdateNow());
+  fixture.Send("/first", std::chrono::seconds(30));
+  fixture.RunFor(std::chrono::milliseconds(300));
+  cr_assert(fixture.received == std::vector<std::string>{"/health"});
+  cr_assert(fixture.record->warm_up.IsAssumed(fixture.loop.UpdateNow()));
+}
--- a/tests/platform/test_request_codec.cc
+++ b/tests/platform/test_request_codec.cc
@@ -225,4 +225,5 @@
   }
   cr_assert(parse("200", "Cold-Ms: 999999999999\r\n")->cold_left == std::chrono::minutes(10));
   cr_assert(!parse("503", "Attempt-Id: 7\r\nCold-Ms: 5\r\n"));
+  cr_assert(parse("503", "Not-Executed: 1\r\n")->is_rejected);
 }
