Membership: probes of suspects carry only what these can refute

Change: probes of a suspect and probes through other hosts carry the state of the suspect and nothing else; pings of members that do not count as alive carry no liveness report.

--- a/src/liblimpetlever/membership/member_tracker.cc
+++ b/src/liblimpetlever/membership/member_tracker.cc
@@ -160,10 +160,11 @@
   }
 }
 
-probe_action member_tracker::CreateDirectProbe(const std::string& target) {
+probe_action member_tracker::CreateDirectProbe(const std::string& target,
+                                               std::vector<gossip_entry> updates) {
   const std::uint64_t id = next_id_++;
   probes_[id] = {.target = target, .incarnation = records_[target].host.incarnation};
-  return {.id = id, .target = target, .updates = CollectUpdates(target)};
+  return {.id = id, .target = target, .updates = std::move(updates)};
 }
 
 void member_tracker::ReprobeSuspects(instant now, std::vector<probe_action>& actions) {
@@ -172,7 +173,8 @@
   for (auto& [name, item] : records_) {
     if (item.reprobe_at && now >= *item.reprobe_at) {
       item.reprobe_at = now + kProbePeriod;
-      actions.push_back(CreateDirectProbe(name));
+      // Other updates would be lost on most suspects: they have ended.
+      actions.push_back(CreateDirectProbe(name, StateToRefute(name)));
     }
   }
 }
@@ -238,14 +240,20 @@
   return updates;
 }
 
+std::vector<gossip_entry> member_tracker::StateToRefute(const std::string& name) {
+  const record* known = FindRecord(name);
+  if (known == nullptr || !known->observed || known->host.state == member_state::alive) {
+    return {};
+  }
+  return {ToGossipEntry(known->host, known->round)};
+}
+
 std::vector<gossip_entry> member_tracker::CollectUpdates(const std::string& peer) {
   std::vector<gossip_entry> updates = TakePendingUpdates();
-  const record* known = FindRecord(peer);
-  if (known != nullptr && known->observed && known->host.state != member_state::alive) {
-    // A suspect can refute the suspicion only once it knows of it.
-    const gossip_entry entry = ToGossipEntry(known->host, known->round);
-    if (std::find(updates.begin(), updates.end(), entry) == updates.end()) {
-      updates.push_back(entry);
+  std::vector<gossip_entry> states = StateToRefute(peer);
+  for (gossip_entry& state : states) {
+    if (std::find(updates.begin(), updates.end(), state) == updates.end()) {
+      updates.push_back(std::move(state));
     }
   }
   return updates;
@@ -262,7 +270,7 @@
   if (now >= next_probe_) {
     next_probe_ = std::max(next_probe_ + kProbePeriod, now + kProbePeriod / 2);
     if (const auto target = NextProbeTarget()) {
-      actions.push_back(CreateDirectProbe(*target));
+      actions.push_back(CreateDirectProbe(*target, CollectUpdates(*target)));
     }
   }
   return actions;
@@ -301,7 +309,7 @@
       pending_actions_.push_back({.id = indirect,
                                   .target = item.target,
                                   .relay = relay,
-                                  .updates = CollectUpdates(item.target)});
+                                  .updates = StateToRefute(item.target)});
     }
   } else {
     --item.outstanding_indirect;
--- a/src/liblimpetlever/membership/member_tracker.h
+++ b/src/liblimpetlever/membership/member_tracker.h
@@ -98,7 +98,9 @@
   std::vector<std::string> RandomRelays(const std::string& target);
   void ExpireSuspicionsAndRecords(instant now);
   void ReprobeSuspects(instant now, std::vector<probe_action>& actions);
-  probe_action CreateDirectProbe(const std::string& target);
+  probe_action CreateDirectProbe(const std::string& target, std::vector<gossip_entry> updates);
+  /** The state of the host if that is not alive: it can refute a suspicion once it knows of it. */
+  std::vector<gossip_entry> StateToRefute(const std::string& name);
   std::vector<gossip_entry> TakePendingUpdates();
 
   std::string self_;
--- a/src/limpetlever/node/peer_service.cc
+++ b/src/limpetlever/node/peer_service.cc
@@ -149,11 +149,6 @@
 
 void peer_service::Send(const std::string& address, peer_message message) {
   message.position = position_;
-  // Other messages may go to all hosts at once.
-  if (message.kind == peer_message::kind_type::ping ||
-      message.kind == peer_message::kind_type::ack) {
-    message.liveness_report = liveness_.Report(loop_.Now());
-  }
   const auto parsed = ParseSocketAddress(address);
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -269,7 +264,8 @@
     case peer_message::kind_type::ping:
       Send(sender, {.kind = peer_message::kind_type::ack,
                     .probe_id = message.probe_id,
-                    .updates = tracker_.CollectUpdates(FindName(sender))});
+                    .updates = tracker_.CollectUpdates(FindName(sender)),
+                    .liveness_report = liveness_.Report(loop_.Now())});
       break;
     case peer_message::kind_type::ack:
       if (const auto relayed = relayed_probes_.find(message.probe_id);
@@ -385,6 +381,10 @@
     if (action.relay.empty()) {
       message.kind = peer_message::kind_type::ping;
       address = FindAddress(action.target);
+      const auto target = tracker_.Find(action.target);
+      if (!target || target->state == member_state::alive) {
+        message.liveness_report = liveness_.Report(loop_.Now());
+      }
     } else {
       message.kind = peer_message::kind_type::relay;
       message.target = FindAddress(action.target);
--- a/tests/membership/test_liveness_table.cc
+++ b/tests/membership/test_liveness_table.cc
@@ -33,6 +33,17 @@
   return "frontend-solothurn-a-" + std::to_string(i);
 }
 
+member MakeHost(int i) {
+  const std::string ip = "10.1.100." + std::to_string(i % 250);
+  return {.name = NameOf(i),
+          .region = "ch-mittelland",
+          .data_centre = "solothurn-a",
+          .http_address = ip + ":8104",
+          .peer_address = ip + ":7380",
+          .incarnation = 1'796'680'000'000'000 + i,
+          .processor_share = 170};
+}
+
 /**
  * Hosts that exchange liveness reports as their probes do: each one probes another host twice a
  * second, in an order that is drawn anew in each round. Both datagrams of a probe may be lost.
@@ -212,22 +223,12 @@
 // Guards against gossip that costs a host more than it may at the size of the design target, when
 // every message carries as many updates and reported hosts as it can.
 Test(liveness_table, messages_stay_within_the_bytes_for_gossip) {
-  const auto host = [](int i) {
-    return member{.name = NameOf(i),
-                  .region = "ch-mittelland",
-                  .data_centre = "solothurn-a",
-                  .http_address = "10.1.100." + std::to_string(i % 250) + ":8104",
-                  .peer_address = "10.1.100." + std::to_string(i % 250) + ":7380",
-                  .incarnation = 1'796'680'000'000'000 + i,
-                  .processor_share = 170};
-  };
   constexpr int kHosts = 2500;
-  member_tracker tracker(host(0), 1, instant(1s));
+  member_tracker tracker(MakeHost(0), 1, instant(1s));
   liveness_table table(NameOf(0));
   std::vector<std::string> in_use;
-  std::string others;
   for (int i = 1; i < kHosts; ++i) {
-    tracker.MergeEntry(ToGossipEntry(host(i), 0), instant(1s));
+    tracker.MergeEntry(ToGossipEntry(MakeHost(i), 0), instant(1s));
     table.Merge(liveness_table(NameOf(i)).Report(instant(1s)), instant(1s));
     in_use.push_back(NameOf(i));
   }
@@ -244,6 +245,48 @@
             kMessagesPerSecond * bytes);
 }
 
+// Guards against the last host of many that sends more than it may while it finds all others ended:
+// each failed probe is followed by probes through others and by further ones of the suspect.
+Test(liveness_table, the_last_host_stays_within_the_bytes_for_gossip) {
+  constexpr int kHosts = 2500;
+  constexpr duration kRunTime = 20s;
+  constexpr duration kPingTimeout = 300ms;
+  instant now = instant(1s);
+  member_tracker tracker(MakeHost(0), 1, now);
+  liveness_table table(NameOf(0));
+  std::vector<std::string> in_use;
+  for (int i = 1; i < kHosts; ++i) {
+    tracker.MergeEntry(ToGossipEntry(MakeHost(i), 0), now);
+    table.Merge(liveness_table(NameOf(i)).Report(now), now);
+    in_use.push_back(NameOf(i));
+  }
+  table.SetHostsInUse(in_use);
+  double bytes = 0;
+  std::multimap<instant, std::uint64_t> timeouts;
+  for (const instant end = now + kRunTime; now < end; now += 10ms) {
+    while (!timeouts.empty() && timeouts.begin()->first <= now) {
+      const std::uint64_t probe = timeouts.extract(timeouts.begin()).mapped();
+      tracker.OnProbeResult(probe, false, now);
+    }
+    for (const probe_action& action : tracker.Advance(now)) {
+      const bool is_direct = action.relay.empty();
+      peer_message message{
+          .kind = is_direct ? peer_message::kind_type::ping : peer_message::kind_type::relay,
+          .probe_id = action.id,
+          .target = is_direct ? "" : tracker.Find(action.target)->peer_address,
+          .position = {.era = 12, .revision = 1'000'000'000},
+          .updates = action.updates};
+      if (is_direct && tracker.Find(action.target)->state == member_state::alive) {
+        message.liveness_report = table.Report(now);
+      }
+      bytes += static_cast<double>(EncodePeerMessage(message).size()) + kDatagramOverhead;
+      timeouts.emplace(now + (is_direct ? kPingTimeout : 2 * kPingTimeout), action.id);
+    }
+  }
+  const double per_second = bytes / std::chrono::duration<double>(kRunTime).count();
+  cr_assert(per_second <= kMaxGossipBytesPerSecond, "%.0f bytes a second", per_second);
+}
+
 // Guards against a malformed report that ends the process or names hosts for ever.
 Test(liveness_table, malformed_reports_are_ignored) {
   random_source random(5);
